--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# demo:  installs what is missing, builds, runs both users' jobs end to end.
+# check: installs, builds, formatter, linter, all tests.
+# bench: the measurements that the docs quote.
+.PHONY: demo check bench build install lint format tests sanitize soak
+
+JOBS := $(shell nproc)
+STEPS ?= 20000000
+
+install:
+	@tools/install.sh
+
+build: install
+	@cmake --preset release > build-configure.log 2>&1 || { cat build-configure.log; exit 1; }
+	@rm -f build-configure.log
+	@cmake --build --preset release -- -j $(JOBS)
+
+sanitize: install
+	@cmake --preset sanitize > /dev/null
+	@cmake --build --preset sanitize -- -j $(JOBS) jaypick_tests
+
+format:
+	@tools/format.sh
+
+lint: build
+	@tools/lint.sh build/release
+
+tests: build sanitize
+	@tools/run_tests.sh
+
+check: build
+	@tools/format.sh --check
+	@tools/lint.sh build/release
+	@$(MAKE) --no-print-directory tests
+
+demo: build
+	@examples/demo.sh build/release
+
+bench: build
+	@build/release/jaypick-bench
+
+soak: build
+	@build/release/jaypick-soak --seed=$(SEED) --steps=$(STEPS)
--- /dev/null
+++ b/cmake/modules.cmake
@@ -0,0 +1,107 @@
+# Everything around the decision code. Each block is skipped while its folder
+# has no sources.
+
+macro(jaypick_optional_library name)
+  set(options)
+  cmake_parse_arguments(ARG "" "" "FOLDERS;LINK" ${ARGN})
+  jaypick_library(${name} ${ARG_FOLDERS})
+  get_target_property(kind ${name} TYPE)
+  if(kind STREQUAL "INTERFACE_LIBRARY")
+    target_link_libraries(${name} INTERFACE ${ARG_LINK})
+  else()
+    target_link_libraries(${name} PUBLIC ${ARG_LINK})
+  endif()
+endmacro()
+
+# easylogging++ ships as source; it is compiled once, without our warnings.
+find_file(EASYLOGGING_SOURCE easylogging++.cc REQUIRED)
+configure_file(${EASYLOGGING_SOURCE} ${CMAKE_BINARY_DIR}/easylogging.cc
+               COPYONLY)
+add_library(jaypick_easylogging STATIC ${CMAKE_BINARY_DIR}/easylogging.cc)
+target_compile_options(jaypick_easylogging PRIVATE -w)
+target_compile_definitions(jaypick_easylogging PUBLIC ELPP_NO_DEFAULT_LOG_FILE
+                                                      ELPP_NO_LOG_TO_FILE)
+
+find_library(CSV_LIBRARY csv REQUIRED)
+
+jaypick_optional_library(jaypick_configuration FOLDERS configuration LINK
+  jaypick_core nlohmann_json::nlohmann_json ${CSV_LIBRARY})
+jaypick_optional_library(jaypick_settings FOLDERS settings LINK
+  jaypick_core nlohmann_json::nlohmann_json)
+jaypick_optional_library(jaypick_http FOLDERS http LINK
+  jaypick_core PkgConfig::LIBEVENT nlohmann_json::nlohmann_json)
+jaypick_optional_library(jaypick_platform FOLDERS platform LINK
+  jaypick_http jaypick_configuration)
+jaypick_optional_library(jaypick_daemon FOLDERS daemon LINK
+  jaypick_platform jaypick_settings jaypick_easylogging prometheus-cpp::core
+  absl::flags absl::flags_parse)
+jaypick_optional_library(jaypick_cli FOLDERS cli LINK
+  jaypick_http jaypick_configuration absl::flags absl::flags_parse)
+
+# Object libraries do not hand on their objects; programs list what they use.
+set(JAYPICK_CORE_OBJECTS jaypick_core)
+set(JAYPICK_ALL jaypick_core jaypick_configuration jaypick_settings jaypick_http
+                jaypick_platform jaypick_daemon)
+
+if(EXISTS ${CMAKE_SOURCE_DIR}/src/daemon/main.cc)
+  add_executable(jaypickd src/daemon/main.cc)
+  target_link_libraries(jaypickd PRIVATE ${JAYPICK_ALL})
+endif()
+if(EXISTS ${CMAKE_SOURCE_DIR}/src/cli/main.cc)
+  add_executable(jaypick src/cli/main.cc)
+  target_link_libraries(jaypick PRIVATE jaypick_cli jaypick_http
+                        jaypick_configuration jaypick_core)
+endif()
+
+# Stand-ins: programs standins/<name>_main.cc over the code beside them.
+file(GLOB STANDIN_SOURCES CONFIGURE_DEPENDS standins/*.cc)
+file(GLOB STANDIN_MAINS CONFIGURE_DEPENDS standins/*_main.cc)
+if(STANDIN_SOURCES)
+  set(code ${STANDIN_SOURCES})
+  list(REMOVE_ITEM code ${STANDIN_MAINS})
+  add_library(jaypick_standins OBJECT ${code})
+  target_include_directories(jaypick_standins PUBLIC ${CMAKE_SOURCE_DIR})
+  target_link_libraries(jaypick_standins PUBLIC jaypick_http absl::flags
+                        absl::flags_parse)
+  foreach(main IN LISTS STANDIN_MAINS)
+    get_filename_component(name ${main} NAME_WE)
+    string(REGEX REPLACE "_main$" "" name ${name})
+    add_executable(jaypick-standin-${name} ${main})
+    target_link_libraries(jaypick-standin-${name} PRIVATE jaypick_standins
+                          jaypick_http jaypick_core)
+  endforeach()
+endif()
+
+# Bench: one program.
+file(GLOB BENCH_SOURCES CONFIGURE_DEPENDS bench/*.cc)
+list(FILTER BENCH_SOURCES EXCLUDE REGEX "/main\\.cc$")
+if(BENCH_SOURCES)
+  add_library(jaypick_bench_code OBJECT ${BENCH_SOURCES})
+  target_include_directories(jaypick_bench_code PUBLIC ${CMAKE_SOURCE_DIR})
+  target_link_libraries(jaypick_bench_code PUBLIC jaypick_core jaypick_http
+                        nlohmann_json::nlohmann_json absl::flags
+                        absl::flags_parse)
+  add_executable(jaypick-bench bench/main.cc)
+  target_link_libraries(jaypick-bench PRIVATE jaypick_bench_code jaypick_http
+                        jaypick_core)
+endif()
+
+# Examples are programs, one file each.
+file(GLOB EXAMPLE_SOURCES CONFIGURE_DEPENDS examples/*.cc)
+foreach(example IN LISTS EXAMPLE_SOURCES)
+  get_filename_component(name ${example} NAME_WE)
+  add_executable(example_${name} ${example})
+  target_link_libraries(example_${name} PRIVATE jaypick_core)
+endforeach()
+
+# Tests: tests/<feature>_test.cc, all in one runner.
+file(GLOB TEST_SOURCES CONFIGURE_DEPENDS tests/*.cc)
+if(TEST_SOURCES)
+  add_executable(jaypick_tests ${TEST_SOURCES})
+  target_include_directories(jaypick_tests PRIVATE ${CMAKE_SOURCE_DIR})
+  # Criterion's macros leave designated fields out and shadow names.
+  target_compile_options(jaypick_tests PRIVATE -Wno-missing-field-initializers)
+  target_link_libraries(jaypick_tests PRIVATE PkgConfig::CRITERION ${JAYPICK_ALL}
+                        $<TARGET_NAME_IF_EXISTS:jaypick_standins>
+                        $<TARGET_NAME_IF_EXISTS:jaypick_bench_code>)
+endif()
--- /dev/null
+++ b/include/jaypick/job.h
@@ -0,0 +1,142 @@
+// Jobs, and what a caller is told about them.
+#ifndef JAYPICK_JOB_H_
+#define JAYPICK_JOB_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "jaypick/ids.h"
+#include "jaypick/time.h"
+
+namespace jaypick {
+
+// The largest job, in tasks.
+inline constexpr std::size_t kMaxTasksPerJob = 410;
+
+// The longest timeout of a job. It is far below the lease of a claimed key, so
+// that a holder paused past its lease finds the deadline passed.
+inline constexpr Duration kMaxJobTimeout = std::chrono::seconds(60);
+
+// How a submission identifies itself.
+using SubmissionIdentity = std::variant<JobId, SubmissionKey>;
+
+// A job as a caller submits it.
+struct JobRequest {
+  SubmissionIdentity identity;
+  std::string owner;
+  std::string service;
+  std::string kind;
+  // Time from arrival to deadline; the kind's default if absent.
+  std::optional<Duration> timeout;
+  // True: the call is answered when the job has ended.
+  bool wait = true;
+  // Number of fresh ids that the caller wants with the answer.
+  std::uint32_t reserve = 0;
+  // One JSON text for each task.
+  std::vector<std::string> tasks;
+
+  friend bool operator==(const JobRequest&, const JobRequest&) = default;
+};
+
+// Whether a refused job ran.
+enum class RunState {
+  // No task was started, and none will be under this id.
+  kNotRun,
+  // It may be running or may have run; ask again.
+  kUnknown,
+  // It is over without an answer; tasks may have run.
+  kFailed,
+};
+
+// Why a job was refused or failed.
+enum class Reason {
+  kBadRequest,
+  kUnknownKind,
+  kUnknownOwner,
+  kNeedsNotOffered,
+  kIdNeverIssued,
+  kIdExpired,
+  kIdClosed,
+  kIdReused,
+  kIssuerUnreachable,
+  kIssuerGone,
+  kKeyClaimUnavailable,
+  kNoConfiguration,
+  kNoUpstream,
+  kQueueFull,
+  kOverloaded,
+  kDeadlineUnreachable,
+  kDeadlineExceeded,
+  kDraining,
+  kCancelled,
+  kTaskFailed,
+  kTaskOutcomeUnknown,
+  kAnswerExpired,
+};
+
+// The name of `state` in answers, for example "not_run".
+std::string_view ToString(RunState state);
+
+// The name of `reason` in answers, for example "queue_full".
+std::string_view ToString(Reason reason);
+
+// One fault of a bad request, with its place.
+struct Fault {
+  // JSON pointer into the request body, for example "/tasks".
+  std::string place;
+  std::string message;
+
+  friend bool operator==(const Fault&, const Fault&) = default;
+};
+
+// A job that was refused, or that failed.
+struct Refusal {
+  std::optional<JobId> id;
+  RunState run = RunState::kUnknown;
+  Reason reason = Reason::kBadRequest;
+  std::string message;
+  // Earliest time to come back, from now.
+  std::optional<Duration> retry_after;
+  std::vector<Fault> faults;
+  std::vector<JobId> next_ids;
+
+  friend bool operator==(const Refusal&, const Refusal&) = default;
+};
+
+// All results of a job, in task order, one JSON text each.
+struct CompleteAnswer {
+  JobId id;
+  std::vector<std::string> results;
+  std::vector<JobId> next_ids;
+
+  friend bool operator==(const CompleteAnswer&,
+                         const CompleteAnswer&) = default;
+};
+
+// A job that has not ended yet.
+struct RunningAnswer {
+  JobId id;
+  std::vector<JobId> next_ids;
+
+  friend bool operator==(const RunningAnswer&, const RunningAnswer&) = default;
+};
+
+// Ids reserved for a caller.
+struct ReservedIds {
+  std::vector<JobId> ids;
+
+  friend bool operator==(const ReservedIds&, const ReservedIds&) = default;
+};
+
+// What a waiting call is answered with.
+using CallAnswer =
+    std::variant<ReservedIds, RunningAnswer, CompleteAnswer, Refusal>;
+
+}  // namespace jaypick
+
+#endif  // JAYPICK_JOB_H_
--- /dev/null
+++ b/include/jaypick/time.h
@@ -0,0 +1,34 @@
+// Time as the decision code sees it: points on the runtime's monotonic clock.
+#ifndef JAYPICK_TIME_H_
+#define JAYPICK_TIME_H_
+
+#include <chrono>
+#include <cstdint>
+
+namespace jaypick {
+
+using Duration = std::chrono::microseconds;
+
+// The runtime's monotonic clock.
+//
+// It has no `now()`: decision code receives the time with each message, so it
+// runs under the event loop's clock and under a paused clock alike.
+struct RuntimeClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<RuntimeClock, Duration>;
+  static constexpr bool is_steady = true;
+};
+
+using TimePoint = RuntimeClock::time_point;
+
+// Whole milliseconds of `duration`, rounded down.
+constexpr std::int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+}  // namespace jaypick
+
+#endif  // JAYPICK_TIME_H_
--- /dev/null
+++ b/src/http/client.h
@@ -0,0 +1,69 @@
+// HTTP client on evhttp.
+#ifndef JAYPICK_HTTP_CLIENT_H_
+#define JAYPICK_HTTP_CLIENT_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "http/http.h"
+#include "jaypick/instance.h"
+#include "jaypick/time.h"
+
+struct event_base;
+
+namespace jaypick::http {
+
+// Why a request has no response.
+struct ClientError {
+  // True only if no byte of the request was written.
+  bool not_sent = false;
+  std::string message;
+};
+
+using ClientResult = std::variant<Response, ClientError>;
+using ClientCallback = std::function<void(ClientResult)>;
+
+struct ClientOptions {
+  // Time from `Send` to the response, connecting included.
+  Duration timeout = std::chrono::seconds(2);
+  // Open connections to one address; further requests wait.
+  std::size_t connections_per_address = 4;
+  // An idle connection is closed after this time.
+  Duration idle_timeout = std::chrono::seconds(30);
+  std::size_t body_limit_bytes = 8 * 1024 * 1024;
+};
+
+// Sends requests over kept-alive connections, one in flight on each.
+//
+// Nothing is ever sent twice. A connection whose request timed out is closed,
+// so that a connection that went silent is replaced. Sockets have TCP
+// keep-alive and TCP_USER_TIMEOUT set.
+class Client {
+ public:
+  Client(event_base* base, ClientOptions options);
+  // Requests in flight end with an error.
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  // Sends `request`. `callback` runs exactly once, from the event loop.
+  // `timeout` replaces the one of the options.
+  void Send(const Address& address, Request request, ClientCallback callback);
+  void Send(const Address& address,
+            Request request,
+            Duration timeout,
+            ClientCallback callback);
+
+  std::size_t in_flight() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace jaypick::http
+
+#endif  // JAYPICK_HTTP_CLIENT_H_
--- /dev/null
+++ b/tools/format.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Formats all sources; with --check only reports files that differ.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+mapfile -t files < <(find include src standins bench examples tests \
+  -name '*.h' -o -name '*.cc' | sort)
+if [ "${1:-}" = "--check" ]; then
+  clang-format --dry-run --Werror "${files[@]}"
+else
+  clang-format -i "${files[@]}"
+fi
