Add fair queue, upstream pool, admission and retry budget

Cause: the dispatcher needs an order of waiting tasks, a choice of upstream, a decision on each job and a budget of repeated placements, each well under 5 us. Ruled out: a heap of owners in the queue, because a blocked kind must be skipped in place and 33 owners fit a sorted array; tables of whole upstreams in the pool, because each choice reads all of them, so the 72 bytes a choice needs are kept apart from names and health. The failure of an abandoned attempt is its own kind of end (kAbandoned), because a cancellation wave says nothing about health.

--- a/include/jaypick/internal/admission.h
+++ b/include/jaypick/internal/admission.h
@@ -15,7 +15,7 @@
   // Tasks waiting or running at one entry, all owners together.
   std::size_t tasks_limit = 20'000;
   // Bytes of task payloads and results held for one owner.
-  std::size_t bytes_per_owner_limit = 32 * 1024 * 1024;
+  std::size_t bytes_per_owner_limit = std::size_t{32} * 1024 * 1024;
   // Part of the time to the deadline that the expected wait may fill.
   double wait_margin = 1.0;
 };
@@ -40,6 +40,10 @@
   // Work waiting for the owner, and the slots that his share gives him.
   Duration owner_backlog{0};
   double owner_slots = 0;
+  // False while the run times are only declared. A job is then not refused for
+  // its deadline: with a declared run time that is too long, none would ever
+  // run and correct it.
+  bool is_run_time_learned = true;
 };
 
 struct AdmissionRefusal {
--- a/include/jaypick/internal/fair_queue.h
+++ b/include/jaypick/internal/fair_queue.h
@@ -6,7 +6,8 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <utility>
+#include <memory>
+#include <vector>
 
 #include <boost/intrusive/list.hpp>
 
@@ -25,6 +26,13 @@
 // waits for what others used meanwhile.
 class FairQueue {
  public:
+  FairQueue() = default;
+  ~FairQueue();
+  FairQueue(FairQueue&& other) noexcept;
+  FairQueue& operator=(FairQueue&&) = delete;
+  FairQueue(const FairQueue&) = delete;
+  FairQueue& operator=(const FairQueue&) = delete;
+
   // Cost of one task of a kind.
   using Cost = std::function<Duration(KindNumber)>;
   // True if a task of the kind can be placed now.
@@ -43,6 +51,9 @@
 
   // Takes the next task whose kind is placeable and charges its owner.
   //
+  // `placeable` is called at most once for each kind, and a task of the first
+  // kind for which it returns true is taken, so it may reserve a slot.
+  //
   // Returns null if there is none.
   QueuedTask* Pop(const Placeable& placeable, const Cost& cost);
 
@@ -62,7 +73,58 @@
   double EffectiveShare(OwnerNumber owner) const;
 
  private:
+  using TaskList =
+      boost::intrusive::list<QueuedTask,
+                             boost::intrusive::constant_time_size<false>>;
+
+  // Waiting tasks of one kind of one owner.
+  struct Lane {
+    KindNumber kind = 0;
+    std::size_t size = 0;
+    TaskList tasks;
+  };
+
+  struct Owner {
+    double weight = 1;
+    // Virtual start time of the next task that is to be charged.
+    double start = 0;
+    std::size_t size = 0;
+    // Waiting tasks that were charged before.
+    std::size_t charged = 0;
+    // Lanes keep their address; kinds of one owner are few.
+    std::vector<std::unique_ptr<Lane>> lanes;
+  };
+
+  // An owner with waiting tasks, at its place in the order of service.
+  struct ActiveOwner {
+    double key = 0;
+    OwnerNumber owner = 0;
+  };
+
+  Owner& OwnerAt(OwnerNumber number);
+  static Lane& LaneOf(Owner& owner, KindNumber kind);
+  static const Lane* FindLane(const Owner& owner, KindNumber kind);
+  // Adds to or takes from the counts before and after a change.
+  void OnLinked(QueuedTask& task, Lane& lane, std::uint64_t sequence);
+  void Unlink(QueuedTask& task, Owner& owner, Lane& lane);
+  void InsertActive(OwnerNumber number);
+  void EraseActive(OwnerNumber number);
+  // Lane of `owner` with the oldest head among those not known to be blocked.
+  Lane* OldestLane(const Owner& owner) const;
+  QueuedTask* PopFrom(OwnerNumber number,
+                      const Placeable& placeable,
+                      const Cost& cost);
+  bool IsBlocked(KindNumber kind) const;
+
+  std::vector<Owner> owners_;
+  // Sorted by key; owners with equal keys take turns.
+  std::vector<ActiveOwner> active_;
+  double active_weight_ = 0;
+  double virtual_time_ = 0;
   std::size_t size_ = 0;
+  // Value of `pop_` at which a kind was found not placeable, by kind.
+  std::vector<std::uint64_t> blocked_at_;
+  std::uint64_t pop_ = 0;
 };
 
 }  // namespace jaypick::internal
--- /dev/null
+++ b/include/jaypick/internal/placement_choice.h
@@ -0,0 +1,43 @@
+// Choice among upstreams that have room.
+#ifndef JAYPICK_INTERNAL_PLACEMENT_CHOICE_H_
+#define JAYPICK_INTERNAL_PLACEMENT_CHOICE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <span>
+
+#include "jaypick/internal/upstream_state.h"
+#include "jaypick/placement.h"
+
+namespace jaypick::internal {
+
+// An upstream that is healthy and below its in-flight limit.
+struct PlacementCandidate {
+  UpstreamNumber upstream = 0;
+  std::uint32_t slots = 0;
+  // In-flight attempts of this entry.
+  std::uint32_t own = 0;
+  // Expected tasks of the other entries.
+  double others = 0;
+};
+
+// Tasks that this entry may have at an upstream beyond its slots.
+std::uint32_t Overcommit(const PlacementPolicy& policy);
+
+// True if the policy lets `candidate` take one more task.
+bool HasRoom(const PlacementPolicy& policy,
+             const PlacementCandidate& candidate);
+
+// Index of the chosen one of `candidates`, which is not empty.
+//
+// `turn` is the number of the upstream that was chosen last, for policies that
+// take turns.
+std::size_t ChooseCandidate(const PlacementPolicy& policy,
+                            std::span<const PlacementCandidate> candidates,
+                            std::uint32_t turn,
+                            std::minstd_rand& engine);
+
+}  // namespace jaypick::internal
+
+#endif  // JAYPICK_INTERNAL_PLACEMENT_CHOICE_H_
--- a/include/jaypick/internal/run_time_estimator.h
+++ b/include/jaypick/internal/run_time_estimator.h
@@ -2,6 +2,8 @@
 #ifndef JAYPICK_INTERNAL_RUN_TIME_ESTIMATOR_H_
 #define JAYPICK_INTERNAL_RUN_TIME_ESTIMATOR_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 
 #include "jaypick/time.h"
@@ -23,10 +25,24 @@
   Duration p99() const;
   std::uint64_t samples() const;
 
+  // True if enough samples were seen to forget the declared run time.
+  bool is_learned() const;
+
+  // Buckets of the histogram: eight to the doubling, from 64 us to over 100 s.
+  static constexpr std::size_t kBuckets = 168;
+  // Samples after which the declared run time is less than 5% of the mean.
+  static constexpr std::uint64_t kLearnedSamples = 6;
+
  private:
+  void RecordInHistogram(Duration run_time);
+  Duration ReadP99() const;
+
   Duration mean_;
   Duration p99_;
+  double mean_us_ = 0;
   std::uint64_t samples_ = 0;
+  float total_ = 0;
+  std::array<float, kBuckets> counts_{};
 };
 
 }  // namespace jaypick::internal
--- a/include/jaypick/internal/upstream_pool.h
+++ b/include/jaypick/internal/upstream_pool.h
@@ -3,21 +3,24 @@
 #define JAYPICK_INTERNAL_UPSTREAM_POOL_H_
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
+#include <queue>
 #include <random>
 #include <string>
 #include <vector>
 
 #include "jaypick/instance.h"
+#include "jaypick/internal/interner.h"
+#include "jaypick/internal/placement_choice.h"
 #include "jaypick/internal/queued_task.h"
+#include "jaypick/internal/upstream_state.h"
 #include "jaypick/placement.h"
 #include "jaypick/time.h"
 
 namespace jaypick::internal {
 
-// Index of an upstream in the pool; stays valid while attempts at it are out.
-using UpstreamNumber = std::uint32_t;
-
 // How an attempt ended, as far as health and load are concerned.
 enum class AttemptEnd {
   kSucceeded,
@@ -29,6 +32,9 @@
   kLeaving,
   // No connection could be opened.
   kNotSent,
+  // No longer awaited, as after a cancellation. It says nothing about health,
+  // but the task may still run.
+  kAbandoned,
 };
 
 // What a task asks of an upstream.
@@ -47,7 +53,7 @@
 // is listed with a greater generation.
 class UpstreamPool {
  public:
-  UpstreamPool(PlacementOptions options, std::uint64_t seed);
+  UpstreamPool(const PlacementOptions& options, std::uint64_t seed);
 
   // Takes over the upstreams of `failure_domain` in `list`. `entries` is the
   // number of live entries that share them; it bounds connections.
@@ -87,10 +93,86 @@
   std::uint32_t in_flight_limit(UpstreamNumber upstream) const;
   bool is_leaving(UpstreamNumber upstream) const;
   bool is_ejected(UpstreamNumber upstream) const;
+  // All numbers are below this; it includes upstreams that have gone.
   std::uint32_t size() const;
 
   // The number of `service`; services are known by name in instance lists.
   ServiceNumber InternService(const std::string& service);
+
+ private:
+  // Live upstreams of one service.
+  struct ServiceState {
+    std::vector<UpstreamNumber> members;
+    std::uint32_t ejected = 0;
+    // Learned mean run time of recent requests, the unit of ageing.
+    Duration run_time{0};
+  };
+
+  // A failed attempt that counts as in-flight until `until`.
+  struct Penalty {
+    TimePoint until;
+    UpstreamNumber upstream = 0;
+
+    friend bool operator>(const Penalty& a, const Penalty& b) {
+      return a.until > b.until;
+    }
+  };
+  using PenaltyHeap =
+      std::priority_queue<Penalty, std::vector<Penalty>, std::greater<Penalty>>;
+
+  // List handling, in upstream_list.cc.
+  UpstreamNumber TakeNumber();
+  void Adopt(const Instance& instance);
+  void Retire(UpstreamNumber number);
+  void MarkLeaving(UpstreamNumber number);
+  void RebuildMembers();
+  void RemoveMember(UpstreamNumber number);
+  void ReadmitExcess(ServiceState& service, TimePoint now);
+  void FreeIfUnused(UpstreamNumber number);
+  std::uint32_t FullLimit(const UpstreamLoad& load) const;
+
+  // Load.
+  void ExpirePenalties(TimePoint now);
+  void AddPenalty(UpstreamNumber number, TimePoint started, TimePoint now);
+  double OthersNow(const UpstreamLoad& load,
+                   Duration run_time,
+                   TimePoint now) const;
+  void CollectCandidate(UpstreamNumber number,
+                        const ServiceState& service,
+                        TimePoint now);
+  UpstreamNumber Reserve(UpstreamNumber number, TimePoint now);
+  std::optional<TimePoint> NextChangeOf(const UpstreamLoad& load,
+                                        const UpstreamHealth& health,
+                                        const ServiceState& service,
+                                        TimePoint now) const;
+
+  // Health, in upstream_health.cc.
+  bool IsProbeDue(UpstreamNumber number) const;
+  void UpdateSlowStart(UpstreamNumber number, TimePoint now);
+  void OnSuccess(UpstreamNumber number, bool is_probe, TimePoint now);
+  void OnFailure(UpstreamNumber number, bool is_probe, TimePoint now);
+  void OnBusy(UpstreamNumber number, TimePoint now);
+  bool ShouldEject(const UpstreamHealth& health) const;
+  bool MayEject(const ServiceState& service) const;
+  void Eject(UpstreamNumber number, TimePoint now);
+  void StartSlowStart(UpstreamNumber number, TimePoint now);
+
+  PlacementOptions options_;
+  std::minstd_rand engine_;
+  std::uint32_t entries_ = 1;
+  // Three tables by upstream number: what each choice reads, and the rest.
+  std::vector<UpstreamLoad> loads_;
+  std::vector<UpstreamHealth> healths_;
+  std::vector<UpstreamIdentity> identities_;
+  std::vector<UpstreamNumber> free_;
+  std::map<std::string, UpstreamNumber> by_name_;
+  // Newest generation seen leaving, also of upstreams that are gone.
+  std::map<std::string, std::uint64_t> left_generations_;
+  Interner service_names_;
+  std::vector<ServiceState> services_;
+  PenaltyHeap penalties_;
+  std::vector<PlacementCandidate> candidates_;
+  std::uint32_t round_robin_ = 0;
 };
 
 }  // namespace jaypick::internal
--- a/include/jaypick/placement.h
+++ b/include/jaypick/placement.h
@@ -47,6 +47,9 @@
 struct EjectionOptions {
   // Failures in a row that eject.
   std::uint32_t consecutive_failures = 5;
+  // Part of the recent attempts that failed, over at least so many attempts.
+  double failure_rate = 0.5;
+  std::uint32_t failure_rate_attempts = 20;
   Duration first_back_off = std::chrono::seconds(1);
   Duration longest_back_off = std::chrono::seconds(30);
   // Time over which a returned upstream regains its slots.
--- /dev/null
+++ b/src/placement/placement_choice.cc
@@ -0,0 +1,98 @@
+#include "jaypick/internal/placement_choice.h"
+
+namespace jaypick::internal {
+namespace {
+
+using Candidates = std::span<const PlacementCandidate>;
+
+std::size_t Draw(std::size_t count, std::minstd_rand& engine) {
+  return std::uniform_int_distribution<std::size_t>(0, count - 1)(engine);
+}
+
+// Index of the least `score`; ties are broken at random, so that entries with
+// the same view do not all choose the same upstream.
+template <typename Score>
+std::size_t Least(Candidates candidates,
+                  std::minstd_rand& engine,
+                  const Score& score) {
+  std::size_t best = 0;
+  std::size_t ties = 1;
+  double best_score = score(candidates[0]);
+  for (std::size_t i = 1; i < candidates.size(); ++i) {
+    const double value = score(candidates[i]);
+    if (value < best_score) {
+      best = i;
+      best_score = value;
+      ties = 1;
+    } else if (value == best_score && Draw(++ties, engine) == 0) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+double OwnLoad(const PlacementCandidate& candidate) {
+  return static_cast<double>(candidate.own) / candidate.slots;
+}
+
+// Up to 1 the task finds a free slot; the part above 1 is the expected wait in
+// mean run times.
+double ExpectedLoad(const PlacementCandidate& candidate) {
+  return (candidate.own + candidate.others + 1) / candidate.slots;
+}
+
+struct Chooser {
+  Candidates candidates;
+  std::uint32_t turn;
+  std::minstd_rand& engine;
+
+  std::size_t operator()(const RandomPlacement& /*policy*/) const {
+    return Draw(candidates.size(), engine);
+  }
+  std::size_t operator()(const RoundRobinPlacement& /*policy*/) const {
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+      if (candidates[i].upstream > turn) {
+        return i;
+      }
+    }
+    return 0;
+  }
+  std::size_t operator()(const LeastOutstandingPlacement& /*policy*/) const {
+    return Least(candidates, engine, OwnLoad);
+  }
+  std::size_t operator()(const TwoChoicesPlacement& /*policy*/) const {
+    const std::size_t first = Draw(candidates.size(), engine);
+    const std::size_t second = Draw(candidates.size(), engine);
+    return OwnLoad(candidates[second]) < OwnLoad(candidates[first]) ? second
+                                                                    : first;
+  }
+  std::size_t operator()(const ReportedLoadPlacement& /*policy*/) const {
+    return Least(candidates, engine, ExpectedLoad);
+  }
+};
+
+}  // namespace
+
+std::uint32_t Overcommit(const PlacementPolicy& policy) {
+  const auto* reported = std::get_if<ReportedLoadPlacement>(&policy);
+  return reported == nullptr ? 0 : reported->overcommit;
+}
+
+bool HasRoom(const PlacementPolicy& policy,
+             const PlacementCandidate& candidate) {
+  const auto* reported = std::get_if<ReportedLoadPlacement>(&policy);
+  if (reported == nullptr) {
+    return true;
+  }
+  return candidate.own + candidate.others + 1 <=
+         candidate.slots + reported->overcommit;
+}
+
+std::size_t ChooseCandidate(const PlacementPolicy& policy,
+                            std::span<const PlacementCandidate> candidates,
+                            std::uint32_t turn,
+                            std::minstd_rand& engine) {
+  return std::visit(Chooser{candidates, turn, engine}, policy);
+}
+
+}  // namespace jaypick::internal
--- /dev/null
+++ b/src/placement/upstream_health.cc
@@ -0,0 +1,149 @@
+// Ejection, probes and slow start.
+#include <algorithm>
+
+#include "jaypick/internal/upstream_pool.h"
+
+namespace jaypick::internal {
+namespace {
+
+// Attempts at which the counts behind the failure rate are halved.
+constexpr std::uint32_t kRateWindow = 64;
+
+// Failures in a row that eject again during a slow start: an upstream that has
+// just come back has less credit.
+constexpr std::uint32_t kSlowStartFailures = 2;
+
+// Time without starts after a refusal as busy; it doubles with each further
+// one. The first is about the time in which one of 8 slots becomes free.
+constexpr Duration kFirstBusyHold = std::chrono::milliseconds(25);
+constexpr std::uint32_t kLongestBusyDoublings = 5;
+
+void CountAttempt(UpstreamHealth& health, bool is_failure) {
+  ++health.attempts;
+  health.failures += is_failure ? 1 : 0;
+  if (health.attempts >= kRateWindow) {
+    health.attempts /= 2;
+    health.failures /= 2;
+  }
+}
+
+}  // namespace
+
+bool UpstreamPool::IsProbeDue(UpstreamNumber number) const {
+  const UpstreamLoad& load = loads_[number];
+  // Attempts from before the ejection may still fill the limit.
+  return load.in_flight < load.limit && !healths_[number].is_probing;
+}
+
+void UpstreamPool::UpdateSlowStart(UpstreamNumber number, TimePoint now) {
+  UpstreamLoad& load = loads_[number];
+  UpstreamHealth& health = healths_[number];
+  const std::uint32_t full = FullLimit(load);
+  const Duration elapsed = now - health.slow_start_began;
+  if (elapsed >= options_.ejection.slow_start) {
+    load.state = HealthState::kHealthy;
+    load.limit = full;
+    health.back_off = Duration{0};
+    return;
+  }
+  const double part = static_cast<double>(elapsed.count()) /
+                      static_cast<double>(options_.ejection.slow_start.count());
+  load.limit = std::min(full, 1 + static_cast<std::uint32_t>(full * part));
+}
+
+void UpstreamPool::StartSlowStart(UpstreamNumber number, TimePoint now) {
+  UpstreamLoad& load = loads_[number];
+  UpstreamHealth& health = healths_[number];
+  if (!identities_[number].is_leaving && identities_[number].is_listed) {
+    --services_[identities_[number].service].ejected;
+  }
+  load.state = HealthState::kSlowStart;
+  load.blocked_until = now;
+  health.is_probing = false;
+  health.consecutive_failures = 0;
+  health.attempts = 0;
+  health.failures = 0;
+  health.slow_start_began = now;
+  UpdateSlowStart(number, now);
+}
+
+void UpstreamPool::OnSuccess(UpstreamNumber number,
+                             bool is_probe,
+                             TimePoint now) {
+  UpstreamHealth& health = healths_[number];
+  health.consecutive_failures = 0;
+  health.busy_streak = 0;
+  CountAttempt(health, false);
+  if (is_probe) {
+    StartSlowStart(number, now);
+  }
+}
+
+void UpstreamPool::OnFailure(UpstreamNumber number,
+                             bool is_probe,
+                             TimePoint now) {
+  UpstreamHealth& health = healths_[number];
+  if (loads_[number].state == HealthState::kEjected) {
+    // Attempts from before the ejection do not lengthen the back-off.
+    if (is_probe) {
+      Eject(number, now);
+    }
+    return;
+  }
+  ++health.consecutive_failures;
+  CountAttempt(health, true);
+  const bool is_slow_start = loads_[number].state == HealthState::kSlowStart;
+  const bool is_due =
+      ShouldEject(health) ||
+      (is_slow_start && health.consecutive_failures >= kSlowStartFailures);
+  if (is_due && MayEject(services_[identities_[number].service])) {
+    Eject(number, now);
+  }
+}
+
+void UpstreamPool::OnBusy(UpstreamNumber number, TimePoint now) {
+  UpstreamHealth& health = healths_[number];
+  const std::uint32_t doublings =
+      std::min(health.busy_streak, kLongestBusyDoublings);
+  const TimePoint until = now + kFirstBusyHold * (1U << doublings);
+  ++health.busy_streak;
+  loads_[number].blocked_until = std::max(loads_[number].blocked_until, until);
+}
+
+bool UpstreamPool::ShouldEject(const UpstreamHealth& health) const {
+  const EjectionOptions& options = options_.ejection;
+  if (health.consecutive_failures >= options.consecutive_failures) {
+    return true;
+  }
+  return health.attempts >= options.failure_rate_attempts &&
+         health.failures >= options.failure_rate * health.attempts;
+}
+
+bool UpstreamPool::MayEject(const ServiceState& service) const {
+  return service.ejected + 1 <= options_.ejection.largest_ejected_part *
+                                    static_cast<double>(service.members.size());
+}
+
+void UpstreamPool::Eject(UpstreamNumber number, TimePoint now) {
+  const EjectionOptions& options = options_.ejection;
+  UpstreamLoad& load = loads_[number];
+  UpstreamHealth& health = healths_[number];
+  const bool is_member =
+      identities_[number].is_listed && !identities_[number].is_leaving;
+  if (load.state != HealthState::kEjected && is_member) {
+    ++services_[identities_[number].service].ejected;
+  }
+  health.back_off =
+      health.back_off == Duration{0}
+          ? options.first_back_off
+          : std::min(health.back_off * 2, options.longest_back_off);
+  health.is_probing = false;
+  health.consecutive_failures = 0;
+  health.attempts = 0;
+  health.failures = 0;
+  load.state = HealthState::kEjected;
+  load.blocked_until = now + health.back_off;
+  load.limit = FullLimit(load);
+}
+
+}  // namespace jaypick::internal
--- /dev/null
+++ b/src/placement/upstream_list.cc
@@ -0,0 +1,179 @@
+// Upstreams of the pool as instance lists come and go.
+#include <algorithm>
+#include <set>
+
+#include "jaypick/internal/upstream_pool.h"
+
+namespace jaypick::internal {
+namespace {
+
+// Names whose leaving is remembered after they left the list. 100 instances are
+// replaced per day, so this covers weeks.
+constexpr std::size_t kRememberedNames = 10'000;
+
+}  // namespace
+
+void UpstreamPool::ApplyList(const InstanceList& list,
+                             const std::string& failure_domain,
+                             std::uint32_t entries,
+                             TimePoint now) {
+  entries_ = std::max(1U, entries);
+  std::set<std::string> listed;
+  for (const Instance& instance : list.instances) {
+    if (instance.role == InstanceRole::kUpstream &&
+        instance.failure_domain == failure_domain) {
+      Adopt(instance);
+      listed.insert(instance.name);
+    }
+  }
+  std::vector<UpstreamNumber> gone;
+  for (const auto& [name, number] : by_name_) {
+    if (!listed.contains(name)) {
+      gone.push_back(number);
+    }
+  }
+  for (const UpstreamNumber number : gone) {
+    Retire(number);
+  }
+  RebuildMembers();
+  for (ServiceState& service : services_) {
+    ReadmitExcess(service, now);
+  }
+}
+
+void UpstreamPool::Adopt(const Instance& instance) {
+  const ServiceNumber service = InternService(instance.service);
+  auto it = by_name_.find(instance.name);
+  if (it != by_name_.end()) {
+    const UpstreamIdentity& known = identities_[it->second];
+    if (instance.generation > known.generation || service != known.service) {
+      Retire(it->second);
+      it = by_name_.end();
+    }
+  }
+  if (it == by_name_.end()) {
+    it = by_name_.emplace(instance.name, TakeNumber()).first;
+    identities_[it->second].generation = instance.generation;
+  }
+  const UpstreamNumber number = it->second;
+  UpstreamIdentity& identity = identities_[number];
+  identity.name = instance.name;
+  identity.address = instance.address;
+  identity.service = service;
+  identity.is_listed = true;
+  const auto left = left_generations_.find(instance.name);
+  if (instance.state == InstanceState::kLeaving) {
+    MarkLeaving(number);
+  } else if (left != left_generations_.end() &&
+             left->second >= identity.generation) {
+    identity.is_leaving = true;
+  }
+  UpstreamLoad& load = loads_[number];
+  load.slots = instance.slots;
+  load.offers = instance.offers;
+  if (load.state != HealthState::kSlowStart) {
+    load.limit = FullLimit(load);
+  }
+}
+
+void UpstreamPool::MarkLeaving(UpstreamNumber number) {
+  UpstreamIdentity& identity = identities_[number];
+  identity.is_leaving = true;
+  std::uint64_t& left = left_generations_[identity.name];
+  left = std::max(left, identity.generation);
+}
+
+UpstreamNumber UpstreamPool::TakeNumber() {
+  if (free_.empty()) {
+    loads_.emplace_back();
+    healths_.emplace_back();
+    identities_.emplace_back();
+    return size() - 1;
+  }
+  const UpstreamNumber number = free_.back();
+  free_.pop_back();
+  loads_[number] = {};
+  healths_[number] = {};
+  identities_[number] = {};
+  return number;
+}
+
+// Takes an upstream off the list. Attempts that are out still end under its
+// number.
+void UpstreamPool::Retire(UpstreamNumber number) {
+  identities_[number].is_listed = false;
+  by_name_.erase(identities_[number].name);
+  if (left_generations_.size() > kRememberedNames) {
+    left_generations_.erase(left_generations_.begin());
+  }
+  FreeIfUnused(number);
+}
+
+void UpstreamPool::FreeIfUnused(UpstreamNumber number) {
+  const UpstreamLoad& load = loads_[number];
+  if (!identities_[number].is_listed && load.in_flight == 0 &&
+      load.penalties == 0) {
+    free_.push_back(number);
+  }
+}
+
+void UpstreamPool::RebuildMembers() {
+  for (ServiceState& service : services_) {
+    service.members.clear();
+    service.ejected = 0;
+  }
+  for (const auto& [name, number] : by_name_) {
+    const UpstreamIdentity& identity = identities_[number];
+    if (identity.is_leaving) {
+      continue;
+    }
+    ServiceState& service = services_[identity.service];
+    service.members.push_back(number);
+    if (loads_[number].state == HealthState::kEjected) {
+      ++service.ejected;
+    }
+  }
+  // Policies that take turns expect ascending numbers.
+  for (ServiceState& service : services_) {
+    std::sort(service.members.begin(), service.members.end());
+  }
+}
+
+void UpstreamPool::RemoveMember(UpstreamNumber number) {
+  ServiceState& service = services_[identities_[number].service];
+  const std::size_t removed = std::erase(service.members, number);
+  if (removed > 0 && loads_[number].state == HealthState::kEjected) {
+    --service.ejected;
+  }
+}
+
+// A list that shrank may leave more than the permitted part ejected.
+void UpstreamPool::ReadmitExcess(ServiceState& service, TimePoint now) {
+  while (service.ejected > options_.ejection.largest_ejected_part *
+                               static_cast<double>(service.members.size())) {
+    std::optional<UpstreamNumber> first;
+    for (const UpstreamNumber number : service.members) {
+      const bool is_earlier =
+          !first || loads_[number].blocked_until < loads_[*first].blocked_until;
+      if (loads_[number].state == HealthState::kEjected && is_earlier) {
+        first = number;
+      }
+    }
+    StartSlowStart(*first, now);
+  }
+}
+
+std::uint32_t UpstreamPool::FullLimit(const UpstreamLoad& load) const {
+  return std::min(load.slots + Overcommit(options_.policy),
+                  options_.connections_per_upstream / entries_);
+}
+
+ServiceNumber UpstreamPool::InternService(const std::string& service) {
+  const ServiceNumber number = service_names_.Intern(service);
+  if (number >= services_.size()) {
+    services_.resize(number + 1);
+  }
+  return number;
+}
+
+}  // namespace jaypick::internal
--- /dev/null
+++ b/src/placement/upstream_pool.cc
@@ -0,0 +1,273 @@
+#include "jaypick/internal/upstream_pool.h"
+
+#include <algorithm>
+
+#include "jaypick/internal/invariant.h"
+
+namespace jaypick::internal {
+namespace {
+
+// Weight of a request in the mean run time by which reports age.
+constexpr int kRunTimeSamples = 64;
+
+void KeepEarliest(std::optional<TimePoint>& earliest, TimePoint time) {
+  earliest = earliest ? std::min(*earliest, time) : time;
+}
+
+}  // namespace
+
+UpstreamPool::UpstreamPool(const PlacementOptions& options, std::uint64_t seed)
+    : options_(options),
+      engine_(static_cast<std::minstd_rand::result_type>(seed)) {}
+
+std::optional<UpstreamNumber> UpstreamPool::Choose(
+    const PlacementRequest& request,
+    TimePoint now) {
+  if (request.service >= services_.size()) {
+    return std::nullopt;
+  }
+  ExpirePenalties(now);
+  ServiceState& service = services_[request.service];
+  service.run_time =
+      service.run_time == Duration{0}
+          ? request.run_time
+          : service.run_time +
+                (request.run_time - service.run_time) / kRunTimeSamples;
+  candidates_.clear();
+  for (const UpstreamNumber number : service.members) {
+    const UpstreamLoad& load = loads_[number];
+    if (now < load.blocked_until || !Satisfies(load.offers, request.needs)) {
+      continue;
+    }
+    if (load.state == HealthState::kEjected) {
+      // A due probe goes first: without it the upstream would stay away.
+      if (request.is_idempotent && IsProbeDue(number)) {
+        return Reserve(number, now);
+      }
+      continue;
+    }
+    CollectCandidate(number, service, now);
+  }
+  if (candidates_.empty()) {
+    return std::nullopt;
+  }
+  const std::size_t chosen =
+      ChooseCandidate(options_.policy, candidates_, round_robin_, engine_);
+  return Reserve(candidates_[chosen].upstream, now);
+}
+
+void UpstreamPool::CollectCandidate(UpstreamNumber number,
+                                    const ServiceState& service,
+                                    TimePoint now) {
+  if (loads_[number].state == HealthState::kSlowStart) {
+    UpdateSlowStart(number, now);
+  }
+  const UpstreamLoad& load = loads_[number];
+  const std::uint32_t own = load.in_flight + load.penalties;
+  if (own >= load.limit || load.slots == 0) {
+    return;
+  }
+  const PlacementCandidate candidate{
+      .upstream = number,
+      .slots = load.slots,
+      .own = own,
+      .others = OthersNow(load, service.run_time, now)};
+  if (HasRoom(options_.policy, candidate)) {
+    candidates_.push_back(candidate);
+  }
+}
+
+UpstreamNumber UpstreamPool::Reserve(UpstreamNumber number, TimePoint now) {
+  UpstreamLoad& load = loads_[number];
+  const UpstreamIdentity& identity = identities_[number];
+  if (load.state == HealthState::kEjected) {
+    healths_[number].is_probing = true;
+    healths_[number].probe_started = now;
+  }
+  CheckInvariant(!identity.is_leaving && identity.is_listed,
+                 "no_start_on_leaving_upstream", identity.name);
+  CheckInvariant(load.in_flight < load.limit, "in_flight_within_limit",
+                 identity.name);
+  ++load.in_flight;
+  round_robin_ = number;
+  return number;
+}
+
+void UpstreamPool::OnAttemptEnded(UpstreamNumber upstream,
+                                  AttemptEnd end,
+                                  std::optional<std::uint32_t> reported_load,
+                                  TimePoint started,
+                                  TimePoint now) {
+  UpstreamLoad& load = loads_[upstream];
+  UpstreamHealth& health = healths_[upstream];
+  CheckInvariant(load.in_flight > 0, "attempt_ends_once",
+                 identities_[upstream].name);
+  --load.in_flight;
+  if (reported_load) {
+    load.others = static_cast<float>(*reported_load -
+                                     std::min(*reported_load, load.in_flight));
+    load.reported_at = now;
+  }
+  const bool is_probe = load.state == HealthState::kEjected &&
+                        health.is_probing && started >= health.probe_started;
+  if (is_probe) {
+    health.is_probing = false;
+  }
+  switch (end) {
+    case AttemptEnd::kSucceeded:
+      OnSuccess(upstream, is_probe, now);
+      break;
+    case AttemptEnd::kFailed:
+    case AttemptEnd::kNotSent:
+      AddPenalty(upstream, started, now);
+      OnFailure(upstream, is_probe, now);
+      break;
+    case AttemptEnd::kBusy:
+      OnBusy(upstream, now);
+      break;
+    case AttemptEnd::kLeaving:
+      RemoveMember(upstream);
+      MarkLeaving(upstream);
+      break;
+    case AttemptEnd::kAbandoned:
+      AddPenalty(upstream, started, now);
+      break;
+  }
+  FreeIfUnused(upstream);
+}
+
+void UpstreamPool::AddPenalty(UpstreamNumber number,
+                              TimePoint started,
+                              TimePoint now) {
+  const TimePoint until =
+      started + services_[identities_[number].service].run_time;
+  if (until > now) {
+    penalties_.push({.until = until, .upstream = number});
+    ++loads_[number].penalties;
+  }
+}
+
+void UpstreamPool::ExpirePenalties(TimePoint now) {
+  while (!penalties_.empty() && penalties_.top().until <= now) {
+    const UpstreamNumber number = penalties_.top().upstream;
+    penalties_.pop();
+    --loads_[number].penalties;
+    FreeIfUnused(number);
+  }
+}
+
+// The reported tasks end within about a mean run time; new ones of other
+// entries show in the next report.
+double UpstreamPool::OthersNow(const UpstreamLoad& load,
+                               Duration run_time,
+                               TimePoint now) const {
+  const Duration age = now - load.reported_at;
+  if (load.others == 0 || age >= run_time) {
+    return 0;
+  }
+  return load.others * (1 - static_cast<double>(age.count()) /
+                                static_cast<double>(run_time.count()));
+}
+
+bool UpstreamPool::IsOffered(ServiceNumber service, const Needs& needs) const {
+  if (service >= services_.size()) {
+    return false;
+  }
+  const auto& members = services_[service].members;
+  return std::any_of(members.begin(), members.end(),
+                     [&](UpstreamNumber number) {
+                       return Satisfies(loads_[number].offers, needs);
+                     });
+}
+
+double UpstreamPool::UsableSlots(ServiceNumber service) const {
+  if (service >= services_.size()) {
+    return 0;
+  }
+  std::uint32_t slots = 0;
+  for (const UpstreamNumber number : services_[service].members) {
+    if (loads_[number].state != HealthState::kEjected) {
+      slots += loads_[number].slots;
+    }
+  }
+  return static_cast<double>(slots) / entries_;
+}
+
+std::optional<TimePoint> UpstreamPool::NextChange(TimePoint now) const {
+  std::optional<TimePoint> earliest;
+  if (!penalties_.empty() && penalties_.top().until > now) {
+    earliest = penalties_.top().until;
+  }
+  for (const ServiceState& service : services_) {
+    for (const UpstreamNumber number : service.members) {
+      const auto next =
+          NextChangeOf(loads_[number], healths_[number], service, now);
+      if (next) {
+        KeepEarliest(earliest, *next);
+      }
+    }
+  }
+  return earliest;
+}
+
+std::optional<TimePoint> UpstreamPool::NextChangeOf(
+    const UpstreamLoad& load,
+    const UpstreamHealth& health,
+    const ServiceState& service,
+    TimePoint now) const {
+  if (load.blocked_until > now) {
+    return load.blocked_until;
+  }
+  if (load.state == HealthState::kEjected) {
+    return std::nullopt;
+  }
+  const std::uint32_t own = load.in_flight + load.penalties;
+  if (load.state == HealthState::kSlowStart && own >= load.limit) {
+    const std::uint32_t full = std::max(1U, FullLimit(load));
+    const Duration step = options_.ejection.slow_start * load.limit / full;
+    const TimePoint next = health.slow_start_began + step + Duration(1);
+    return next > now ? std::optional(next) : std::nullopt;
+  }
+  const double room =
+      static_cast<double>(load.slots) + Overcommit(options_.policy) - own - 1.0;
+  const double others = OthersNow(load, service.run_time, now);
+  if (own >= load.limit || room < 0 || others <= room) {
+    return std::nullopt;
+  }
+  // `others` has fallen to `room` after this part of the run time.
+  const double part = 1 - room / static_cast<double>(load.others);
+  const Duration age(static_cast<std::int64_t>(
+      part * static_cast<double>(service.run_time.count())));
+  return std::max(load.reported_at + age, now) + Duration(1);
+}
+
+const std::string& UpstreamPool::name(UpstreamNumber upstream) const {
+  return identities_[upstream].name;
+}
+
+const Address& UpstreamPool::address(UpstreamNumber upstream) const {
+  return identities_[upstream].address;
+}
+
+std::uint32_t UpstreamPool::in_flight(UpstreamNumber upstream) const {
+  return loads_[upstream].in_flight;
+}
+
+std::uint32_t UpstreamPool::in_flight_limit(UpstreamNumber upstream) const {
+  return loads_[upstream].limit;
+}
+
+bool UpstreamPool::is_leaving(UpstreamNumber upstream) const {
+  return identities_[upstream].is_leaving;
+}
+
+bool UpstreamPool::is_ejected(UpstreamNumber upstream) const {
+  return identities_[upstream].is_listed &&
+         loads_[upstream].state == HealthState::kEjected;
+}
+
+std::uint32_t UpstreamPool::size() const {
+  return static_cast<std::uint32_t>(loads_.size());
+}
+
+}  // namespace jaypick::internal
--- /dev/null
+++ b/tests/admission_test.cc
@@ -0,0 +1,112 @@
+// Admission, learned run times and the retry budget.
+#include <criterion/criterion.h>
+
+#include "jaypick/internal/admission.h"
+#include "jaypick/internal/retry_budget.h"
+#include "jaypick/internal/run_time_estimator.h"
+
+namespace jaypick::internal {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+AdmissionInput Roomy() {
+  return {.job_tasks = 64,
+          .job_bytes = 1000,
+          .timeout = seconds(2),
+          .mean_run_time = milliseconds(400),
+          .p99_run_time = seconds(1),
+          .queue_limit = 1000,
+          .owner_slots = 40};
+}
+
+// Guards against a limit that is not applied, or applied to a job that fits.
+Test(admission, refuses_with_the_reason_that_applies) {
+  struct Case {
+    const char* name;
+    void (*change)(AdmissionInput&);
+    std::optional<Reason> expected;
+  };
+  const Case cases[] = {
+      {"fits", [](AdmissionInput&) {}, std::nullopt},
+      {"entry full", [](AdmissionInput& i) { i.entry_tasks = 19'937; },
+       Reason::kOverloaded},
+      {"bytes", [](AdmissionInput& i) { i.owner_bytes = 32U << 20; },
+       Reason::kOverloaded},
+      {"queue full", [](AdmissionInput& i) { i.queued_of_kind = 937; },
+       Reason::kQueueFull},
+      {"queue just not full", [](AdmissionInput& i) { i.queued_of_kind = 936; },
+       std::nullopt},
+      {"backlog", [](AdmissionInput& i) { i.owner_backlog = seconds(60); },
+       Reason::kDeadlineUnreachable},
+      {"backlog in time",
+       [](AdmissionInput& i) { i.owner_backlog = seconds(50); }, std::nullopt},
+      {"no slots",
+       [](AdmissionInput& i) {
+         i.owner_slots = 0;
+         i.owner_backlog = seconds(1);
+       },
+       Reason::kDeadlineUnreachable},
+      {"run time", [](AdmissionInput& i) { i.mean_run_time = seconds(3); },
+       Reason::kDeadlineUnreachable},
+      {"run time only declared",
+       [](AdmissionInput& i) {
+         i.mean_run_time = seconds(3);
+         i.is_run_time_learned = false;
+       },
+       std::nullopt},
+  };
+  for (const Case& c : cases) {
+    AdmissionInput input = Roomy();
+    c.change(input);
+    const auto refusal = CheckAdmission({}, input);
+    cr_assert(refusal.has_value() == c.expected.has_value(), "%s", c.name);
+    cr_assert(!refusal || refusal->reason == *c.expected, "%s", c.name);
+    cr_assert(!refusal || refusal->retry_after >= milliseconds(100));
+  }
+}
+
+// Guards against a declared run time that is wrong by ten and stays in force.
+Test(admission, forgets_declared_run_time) {
+  for (const Duration declared :
+       {Duration(milliseconds(40)), Duration(seconds(4))}) {
+    RunTimeEstimator estimator(declared);
+    cr_assert(estimator.mean() == declared);
+    for (int i = 0; i < 12; ++i) {
+      estimator.Record(milliseconds(400));
+    }
+    cr_assert(estimator.is_learned());
+    cr_assert(abs(ToMilliseconds(estimator.mean()) - 400) < 60);
+  }
+}
+
+// Guards against a p99 that misses the tail or never forgets it.
+Test(admission, p99_follows_the_tail) {
+  RunTimeEstimator estimator(milliseconds(100));
+  for (int i = 0; i < 2000; ++i) {
+    estimator.Record(i % 40 == 0 ? seconds(3) : milliseconds(200));
+  }
+  cr_assert(estimator.p99() >= seconds(3) && estimator.p99() < seconds(4));
+  for (int i = 0; i < 20'000; ++i) {
+    estimator.Record(milliseconds(200));
+  }
+  cr_assert(estimator.p99() < milliseconds(230));
+}
+
+// Guards against repeated placements beyond a tenth of the first starts.
+Test(retry_budget, is_a_part_of_first_starts) {
+  RetryBudget budget({.ratio = 0.1, .burst = 2});
+  cr_assert(budget.TryTake() && budget.TryTake() && !budget.TryTake());
+  for (int i = 0; i < 11; ++i) {
+    budget.OnFirstStart();
+  }
+  cr_assert(budget.TryTake() && !budget.TryTake());
+  for (int i = 0; i < 1000; ++i) {
+    budget.OnFirstStart();
+  }
+  cr_assert(budget.tokens() == 2);
+}
+
+}  // namespace
+}  // namespace jaypick::internal
--- /dev/null
+++ b/tests/upstream_pool_test.cc
@@ -0,0 +1,267 @@
+// Slots, reported load and health of upstreams.
+#include <utility>
+
+// clang-format off
+// Boost.Intrusive uses the name `Test`, which Criterion defines as a macro.
+#include <boost/intrusive/list.hpp>
+#include <criterion/criterion.h>
+// clang-format on
+
+#include "jaypick/internal/invariant.h"
+#include "jaypick/internal/upstream_pool.h"
+
+namespace jaypick::internal {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kRunTime = milliseconds(400);
+
+Instance Upstream(const std::string& name) {
+  return {.name = name,
+          .generation = 1,
+          .failure_domain = "ghent",
+          .service = "fitting",
+          .slots = 8,
+          .offers = {.cpus = 4}};
+}
+
+struct Fixture {
+  explicit Fixture(int upstreams,
+                   std::uint32_t entries = 2,
+                   PlacementOptions options = {})
+      : pool(options, 1), entry_count(entries) {
+    for (int i = 0; i < upstreams; ++i) {
+      list.instances.push_back(Upstream("u" + std::to_string(i)));
+    }
+    Apply();
+  }
+  void Apply() { pool.ApplyList(list, "ghent", entry_count, now); }
+  std::optional<UpstreamNumber> Choose(bool is_idempotent = true,
+                                       Needs needs = {}) {
+    return pool.Choose({.service = 0,
+                        .needs = needs,
+                        .run_time = kRunTime,
+                        .is_idempotent = is_idempotent},
+                       now);
+  }
+  int ChooseAll() {
+    int count = 0;
+    while (Choose()) {
+      ++count;
+    }
+    return count;
+  }
+  void End(UpstreamNumber upstream,
+           AttemptEnd end,
+           std::optional<std::uint32_t> reported = {}) {
+    pool.OnAttemptEnded(upstream, end, reported, now, now);
+  }
+  // Fails attempts until something is ejected; returns how many it took.
+  int FailUntilEjected(int limit) {
+    for (int i = 1; i <= limit; ++i) {
+      const auto upstream = Choose();
+      now += kRunTime;
+      pool.OnAttemptEnded(*upstream, AttemptEnd::kFailed, {}, now - kRunTime,
+                          now);
+      if (pool.is_ejected(*upstream)) {
+        return i;
+      }
+    }
+    return 0;
+  }
+
+  UpstreamPool pool;
+  InstanceList list;
+  std::uint32_t entry_count;
+  TimePoint now{seconds(100)};
+};
+
+// Guards against more tasks or connections at an upstream than its limits.
+Test(upstream_pool, limits_in_flight) {
+  struct Case {
+    PlacementPolicy policy;
+    std::uint32_t entries;
+    int expected;
+  };
+  for (const Case& c :
+       {Case{ReportedLoadPlacement{}, 2, 9},
+        Case{ReportedLoadPlacement{.overcommit = 4}, 2, 12},
+        Case{ReportedLoadPlacement{}, 25, 2},
+        Case{ReportedLoadPlacement{}, 61, 0}, Case{RandomPlacement{}, 2, 8},
+        Case{RoundRobinPlacement{}, 2, 8},
+        Case{LeastOutstandingPlacement{}, 2, 8},
+        Case{TwoChoicesPlacement{}, 2, 8}}) {
+    Fixture f(3, c.entries, {.policy = c.policy});
+    cr_assert(f.ChooseAll() == 3 * c.expected, "%s", ToString(c.policy).data());
+    cr_assert(ParsePlacementPolicy(ToString(c.policy))->index() ==
+              c.policy.index());
+  }
+}
+
+// Guards against tasks piling up on an upstream that other entries fill, and
+// against a report that counts forever.
+Test(upstream_pool, reported_load_holds_back_and_ages) {
+  Fixture f(2);
+  const UpstreamNumber busy = *f.Choose();
+  f.End(busy, AttemptEnd::kSucceeded, 9);
+  cr_assert(f.ChooseAll() == 9);
+  cr_assert(f.pool.in_flight(busy) == 0);
+  const auto next = f.pool.NextChange(f.now);
+  cr_assert(next && *next > f.now && *next < f.now + kRunTime);
+  f.now = *next;
+  cr_assert(f.Choose() == busy);
+  f.now += kRunTime;
+  cr_assert(f.ChooseAll() == 8);
+}
+
+// Guards against refused starts in a row at an upstream without room.
+Test(upstream_pool, busy_upstream_is_held_back_longer_each_time) {
+  Fixture f(1);
+  Duration previous{0};
+  for (int i = 0; i < 4; ++i) {
+    const TimePoint refused = f.now;
+    f.End(*f.Choose(), AttemptEnd::kBusy);
+    cr_assert(!f.Choose());
+    f.now = *f.pool.NextChange(f.now);
+    cr_assert(f.now - refused > previous);
+    previous = f.now - refused;
+  }
+}
+
+// Guards against an upstream that fails everything and stays in use, one that
+// is never tried again, and probes by tasks that may run only once.
+Test(upstream_pool, ejects_probes_and_readmits_slowly) {
+  Fixture f(2);
+  cr_assert(f.FailUntilEjected(10) > 0);
+  const UpstreamNumber bad = f.pool.is_ejected(0) ? 0 : 1;
+  for (const int back_off_s : {1, 2, 4, 8, 16, 30, 30}) {
+    f.now += seconds(back_off_s) - Duration(1);
+    const UpstreamNumber good = *f.Choose();
+    cr_assert(good != bad);
+    f.End(good, AttemptEnd::kSucceeded);
+    f.now += Duration(1);
+    cr_assert(*f.Choose(false) != bad);
+    f.End(good, AttemptEnd::kSucceeded);
+    cr_assert(*f.Choose() == bad);
+    cr_assert(*f.Choose() != bad, "one probe at a time");
+    f.End(1 - bad, AttemptEnd::kSucceeded);
+    f.End(bad, AttemptEnd::kFailed);
+  }
+  f.now += seconds(30);
+  f.End(*f.Choose(), AttemptEnd::kSucceeded);
+  cr_assert(!f.pool.is_ejected(bad));
+  cr_assert(f.ChooseAll() == 9 + 1);
+  f.now += milliseconds(2500);
+  cr_assert(f.ChooseAll() == 4);
+  f.now += milliseconds(2500);
+  cr_assert(f.ChooseAll() == 4);
+}
+
+// Guards against ejecting on the rate too late, and against ejecting so many
+// that the rest cannot carry the load.
+Test(upstream_pool, ejects_on_rate_and_at_most_half) {
+  Fixture rate(2);
+  const UpstreamNumber target = *rate.Choose();
+  rate.End(target, AttemptEnd::kSucceeded);
+  for (int i = 0; !rate.pool.is_ejected(target) && i < 200; ++i) {
+    const UpstreamNumber chosen = *rate.Choose();
+    const bool fails = chosen == target && i % 4 != 0;
+    rate.End(chosen, fails ? AttemptEnd::kFailed : AttemptEnd::kSucceeded);
+    rate.now += kRunTime;
+  }
+  cr_assert(rate.pool.is_ejected(target));
+
+  Fixture all(5);
+  for (int i = 0; i < 4; ++i) {
+    all.FailUntilEjected(40);
+  }
+  int ejected = 0;
+  for (UpstreamNumber number = 0; number < all.pool.size(); ++number) {
+    ejected += all.pool.is_ejected(number) ? 1 : 0;
+  }
+  cr_assert(ejected == 2);
+  cr_assert(all.pool.UsableSlots(0) == 3 * 8 / 2.0);
+  all.list.instances.resize(1);
+  all.Apply();
+  cr_assert(!all.pool.is_ejected(0), "half of one upstream is none");
+}
+
+// Guards against fast failures that look like free slots.
+Test(upstream_pool, fast_failure_counts_as_in_flight) {
+  Fixture f(1);
+  f.End(*f.Choose(), AttemptEnd::kFailed);
+  f.End(*f.Choose(), AttemptEnd::kNotSent);
+  cr_assert(f.ChooseAll() == 7);
+  f.now = *f.pool.NextChange(f.now);
+  cr_assert(f.ChooseAll() == 2);
+}
+
+// Guards against a leaving upstream that gets starts again before it is listed
+// with a greater generation.
+Test(upstream_pool, leaving_is_sticky_by_generation) {
+  for (const bool by_answer : {false, true}) {
+    Fixture f(1);
+    const UpstreamNumber first = *f.Choose();
+    if (by_answer) {
+      f.End(first, AttemptEnd::kLeaving);
+    } else {
+      f.list.instances[0].state = InstanceState::kLeaving;
+      f.Apply();
+    }
+    cr_assert(f.pool.is_leaving(first) && !f.Choose());
+    f.list.instances[0].state = InstanceState::kLive;
+    f.Apply();
+    cr_assert(!f.Choose());
+    const auto instances = std::exchange(f.list.instances, {});
+    f.Apply();
+    f.list.instances = instances;
+    f.Apply();
+    cr_assert(!f.Choose() && !f.pool.IsOffered(0, {}));
+    f.list.instances[0].generation = 2;
+    f.Apply();
+    cr_assert(f.Choose());
+  }
+}
+
+// Guards against an attempt's end that is booked on another upstream.
+Test(upstream_pool, number_stays_while_attempts_are_out) {
+  Fixture f(1);
+  const UpstreamNumber old = *f.Choose();
+  f.list.instances = {Upstream("v")};
+  f.Apply();
+  const UpstreamNumber fresh = *f.Choose();
+  cr_assert(fresh != old && f.pool.name(old) == "u0");
+  f.End(old, AttemptEnd::kSucceeded);
+  f.list.instances.push_back(Upstream("w"));
+  f.Apply();
+  cr_assert(f.pool.name(old) == "w" && f.pool.size() == 2);
+}
+
+// Guards against tasks on upstreams without what they need.
+Test(upstream_pool, needs_must_be_offered) {
+  Fixture f(1);
+  cr_assert(f.pool.IsOffered(0, {.cpus = 4}));
+  cr_assert(!f.pool.IsOffered(0, {.accelerators = 1}));
+  cr_assert(!f.Choose(true, {.cpus = 5}));
+  cr_assert(f.Choose(true, {.cpus = 4}));
+}
+
+// Guards against a check that cannot fail.
+Test(upstream_pool, attempt_that_ends_twice_is_reported) {
+  Fixture f(1);
+  const UpstreamNumber upstream = *f.Choose();
+  f.End(upstream, AttemptEnd::kSucceeded);
+  std::string reported;
+  const ViolationHandler handler = [&](std::string_view invariant,
+                                       std::string_view) {
+    reported = invariant;
+  };
+  const ViolationScope scope(handler);
+  f.End(upstream, AttemptEnd::kSucceeded);
+  cr_assert(reported == "attempt_ends_once");
+}
+
+}  // namespace
+}  // namespace jaypick::internal
