Add policy study driver in virtual time

Cause: the placement policy has to be measured against an oracle before its defaults are fixed. Ruled out: a model of the dispatcher, because it would leave out queue, admission and retry rules; the driver runs the real Dispatcher with in-process upstreams and one heap of events.

--- /dev/null
+++ b/bench/case_study.cc
@@ -0,0 +1,4 @@
+#include "bench/study.h"
+namespace jaypick::bench {
+void RunCaseStudy(const StudyOptions&) {}
+}  // namespace jaypick::bench
--- /dev/null
+++ b/bench/scenario.cc
@@ -0,0 +1,115 @@
+#include <cmath>
+
+#include "bench/oracle.h"
+#include "bench/study.h"
+
+namespace jaypick::bench {
+namespace {
+
+void UseRandom(DispatcherOptions& options) {
+  options.placement.policy = RandomPlacement{};
+}
+
+void UseRoundRobin(DispatcherOptions& options) {
+  options.placement.policy = RoundRobinPlacement{};
+}
+
+void UseLeastOutstanding(DispatcherOptions& options) {
+  options.placement.policy = LeastOutstandingPlacement{};
+}
+
+void UseTwoChoices(DispatcherOptions& options) {
+  options.placement.policy = TwoChoicesPlacement{};
+}
+
+template <std::uint32_t kOvercommit>
+void UseOvercommit(DispatcherOptions& options) {
+  options.placement.policy = ReportedLoadPlacement{.overcommit = kOvercommit};
+}
+
+double Rounded(double value) {
+  return std::round(value * 10'000) / 10'000;
+}
+
+}  // namespace
+
+const std::vector<Variant>& AllVariants() {
+  static const std::vector<Variant> variants = {
+      {.name = "default", .apply = [](DispatcherOptions&) {}},
+      {.name = "overcommit_0", .apply = UseOvercommit<0>},
+      {.name = "overcommit_1", .apply = UseOvercommit<1>},
+      {.name = "overcommit_2", .apply = UseOvercommit<2>},
+      {.name = "overcommit_4", .apply = UseOvercommit<4>},
+      {.name = "random", .apply = UseRandom},
+      {.name = "round_robin", .apply = UseRoundRobin},
+      {.name = "least_outstanding", .apply = UseLeastOutstanding},
+      {.name = "two_choices", .apply = UseTwoChoices},
+  };
+  return variants;
+}
+
+const Variant* FindVariant(const std::string& name) {
+  for (const Variant& variant : AllVariants()) {
+    if (variant.name == name) {
+      return &variant;
+    }
+  }
+  return nullptr;
+}
+
+Window Scenario::MeasuredWindow() const {
+  return {.from = workload.length / 10, .until = workload.length};
+}
+
+Scenario TodaysScenario(std::uint64_t seed,
+                        double load,
+                        std::uint32_t job_tasks,
+                        std::uint32_t seconds) {
+  const std::uint32_t factor = job_tasks > 1 ? 4 : 1;
+  Scenario scenario;
+  scenario.workload.seed = seed;
+  scenario.workload.length = std::chrono::seconds(seconds * factor);
+  scenario.workload.load = load;
+  scenario.workload.job_tasks = job_tasks;
+  scenario.simulation.seed = seed;
+  scenario.simulation.length = scenario.workload.length;
+  return scenario;
+}
+
+Outcome RunOracleOf(const Scenario& scenario,
+                    const std::vector<JobPlan>& jobs) {
+  const SimulationOptions& simulation = scenario.simulation;
+  const OracleOptions options{
+      .slots = simulation.upstreams * simulation.upstream.slots,
+      .slow_slots = simulation.slow_upstreams * simulation.upstream.slots,
+      .slow_factor = simulation.slow_factor,
+      .message_delay = simulation.message_delay,
+      .timeout = simulation.timeout,
+      .shares = simulation.shares};
+  return RunOracle(options, jobs);
+}
+
+nlohmann::json Describe(const Scenario& scenario,
+                        const std::vector<JobPlan>& jobs,
+                        const Outcome& outcome) {
+  const Window window = scenario.MeasuredWindow();
+  nlohmann::json line;
+  for (std::uint32_t owner = 0; owner < scenario.simulation.shares.size();
+       ++owner) {
+    line["ratio"][OwnerName(owner)] = ToJson(PercentilesOf(ResponseRatios(
+        outcome, jobs, owner, window, scenario.simulation.message_delay)));
+  }
+  line["jobs"] = EndsOf(outcome, jobs, window);
+  line["goodput"] = Rounded(Goodput(outcome, jobs, window));
+  line["wasted_per_start"] = Rounded(WastedPerStart(outcome));
+  line["starts"] = outcome.first_starts;
+  line["repeated_starts"] = outcome.repeated_starts;
+  line["refused_starts"] = outcome.refused_starts;
+  line["connections"] = outcome.connections;
+  line["waited_at_upstream"] = outcome.waited_at_upstream;
+  line["upstream_wait_ms"] = ToMilliseconds(outcome.upstream_wait);
+  line["violations"] = outcome.violations;
+  return line;
+}
+
+}  // namespace jaypick::bench
--- /dev/null
+++ b/bench/simulation.h
@@ -0,0 +1,66 @@
+// Several real dispatchers and fake upstreams in virtual time.
+#ifndef BENCH_SIMULATION_H_
+#define BENCH_SIMULATION_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "bench/fake_upstream.h"
+#include "bench/outcome.h"
+#include "bench/workload.h"
+#include "jaypick/dispatcher.h"
+#include "jaypick/time.h"
+
+namespace jaypick::bench {
+
+enum class UpstreamFault {
+  // Answers every request at once with a failure.
+  kFailsEverything,
+  // Refuses connections.
+  kUnreachable,
+};
+
+// Upstreams from 0 to `count` have the fault from `from` until `until`.
+struct FaultPlan {
+  UpstreamFault fault = UpstreamFault::kFailsEverything;
+  std::uint32_t count = 1;
+  Duration from{0};
+  Duration until{0};
+};
+
+struct SimulationOptions {
+  std::uint64_t seed = 1;
+  std::uint32_t entries = 2;
+  std::uint32_t upstreams = 17;
+  FakeUpstreamOptions upstream;
+  // The first ones run tasks `slow_factor` times as long.
+  std::uint32_t slow_upstreams = 0;
+  double slow_factor = 1;
+  std::optional<FaultPlan> fault;
+  Duration message_delay = std::chrono::microseconds(500);
+  Duration timeout = std::chrono::seconds(20);
+  Duration declared_run_time = std::chrono::milliseconds(380);
+  std::uint32_t queue_limit = 5000;
+  // Weights of the owners, in percent.
+  std::vector<std::uint32_t> shares = {60, 40};
+  // Length of the run, for the count of peer exchanges.
+  Duration length = std::chrono::seconds(60);
+  // Name, failure domain, seed and observer are set by the simulation.
+  DispatcherOptions dispatcher;
+};
+
+// Name of an owner in the simulation.
+std::string OwnerName(std::uint32_t owner);
+
+// The configuration and instance list that the simulation offers.
+Configuration SimulationConfiguration(const SimulationOptions& options);
+InstanceList SimulationInstances(const SimulationOptions& options);
+
+// Runs `jobs` to their end.
+Outcome Simulate(const SimulationOptions& options,
+                 const std::vector<JobPlan>& jobs);
+
+}  // namespace jaypick::bench
+
+#endif  // BENCH_SIMULATION_H_
--- a/include/jaypick/internal/upstream_pool.h
+++ b/include/jaypick/internal/upstream_pool.h
@@ -43,7 +43,8 @@
   Needs needs;
   // Learned mean run time, the unit of expected waits.
   Duration run_time{0};
-  // Whether the task may be used to probe an ejected upstream.
+  // Whether the task may run twice. Ejected upstreams are probed by such tasks,
+  // and by others only if the service has had none for a while.
   bool is_idempotent = false;
 };
 
@@ -98,6 +99,7 @@
 
   // The number of `service`; services are known by name in instance lists.
   ServiceNumber InternService(const std::string& service);
+  std::optional<ServiceNumber> FindService(const std::string& service) const;
 
  private:
   // Live upstreams of one service.
@@ -106,6 +108,7 @@
     std::uint32_t ejected = 0;
     // Learned mean run time of recent requests, the unit of ageing.
     Duration run_time{0};
+    TimePoint last_idempotent;
   };
 
   // A failed attempt that counts as in-flight until `until`.
@@ -147,6 +150,9 @@
                                         TimePoint now) const;
 
   // Health, in upstream_health.cc.
+  bool MayProbe(const PlacementRequest& request,
+                ServiceState& service,
+                TimePoint now) const;
   bool IsProbeDue(UpstreamNumber number) const;
   void UpdateSlowStart(UpstreamNumber number, TimePoint now);
   void OnSuccess(UpstreamNumber number, bool is_probe, TimePoint now);
--- a/src/placement/upstream_health.cc
+++ b/src/placement/upstream_health.cc
@@ -13,6 +13,10 @@
 // just come back has less credit.
 constexpr std::uint32_t kSlowStartFailures = 2;
 
+// Time without an idempotent request after which a task of another kind may be
+// the probe; a service may have no idempotent kind at all.
+constexpr Duration kIdempotentWait = std::chrono::seconds(1);
+
 // Time without starts after a refusal as busy; it doubles with each further
 // one. The first is about the time in which one of 8 slots becomes free.
 constexpr Duration kFirstBusyHold = std::chrono::milliseconds(25);
@@ -29,6 +33,16 @@
 
 }  // namespace
 
+bool UpstreamPool::MayProbe(const PlacementRequest& request,
+                            ServiceState& service,
+                            TimePoint now) const {
+  if (request.is_idempotent) {
+    service.last_idempotent = now;
+    return true;
+  }
+  return now - service.last_idempotent >= kIdempotentWait;
+}
+
 bool UpstreamPool::IsProbeDue(UpstreamNumber number) const {
   const UpstreamLoad& load = loads_[number];
   // Attempts from before the ejection may still fill the limit.
--- a/src/placement/upstream_list.cc
+++ b/src/placement/upstream_list.cc
@@ -168,6 +168,11 @@
                   options_.connections_per_upstream / entries_);
 }
 
+std::optional<ServiceNumber> UpstreamPool::FindService(
+    const std::string& service) const {
+  return service_names_.Find(service);
+}
+
 ServiceNumber UpstreamPool::InternService(const std::string& service) {
   const ServiceNumber number = service_names_.Intern(service);
   if (number >= services_.size()) {
--- a/src/placement/upstream_pool.cc
+++ b/src/placement/upstream_pool.cc
@@ -33,6 +33,7 @@
           ? request.run_time
           : service.run_time +
                 (request.run_time - service.run_time) / kRunTimeSamples;
+  const bool may_probe = MayProbe(request, service, now);
   candidates_.clear();
   for (const UpstreamNumber number : service.members) {
     const UpstreamLoad& load = loads_[number];
@@ -41,7 +42,7 @@
     }
     if (load.state == HealthState::kEjected) {
       // A due probe goes first: without it the upstream would stay away.
-      if (request.is_idempotent && IsProbeDue(number)) {
+      if (may_probe && IsProbeDue(number)) {
         return Reserve(number, now);
       }
       continue;
--- a/src/queue/fair_queue.cc
+++ b/src/queue/fair_queue.cc
@@ -6,6 +6,18 @@
 #include "jaypick/internal/invariant.h"
 
 namespace jaypick::internal {
+namespace {
+
+// Tasks that wait for another placement go before tasks that wait for the
+// first.
+bool IsBefore(const QueuedTask& a, const QueuedTask& b) {
+  if (a.is_charged != b.is_charged) {
+    return a.is_charged;
+  }
+  return a.sequence < b.sequence;
+}
+
+}  // namespace
 
 QueuedTask::~QueuedTask() {
   if (is_linked()) {
@@ -211,7 +223,7 @@
       continue;
     }
     if (oldest == nullptr ||
-        lane->tasks.front().sequence < oldest->tasks.front().sequence) {
+        IsBefore(lane->tasks.front(), oldest->tasks.front())) {
       oldest = lane.get();
     }
   }
--- a/tests/upstream_pool_test.cc
+++ b/tests/upstream_pool_test.cc
@@ -159,6 +159,17 @@
   cr_assert(f.ChooseAll() == 4);
 }
 
+// Guards against an ejected upstream that never returns because its service has
+// no idempotent kind.
+Test(upstream_pool, other_tasks_probe_if_there_are_no_idempotent_ones) {
+  Fixture f(2);
+  f.FailUntilEjected(10);
+  f.now += seconds(2);
+  f.Choose(false);
+  f.Choose(false);
+  cr_assert(f.pool.in_flight(0) == 1 && f.pool.in_flight(1) == 1);
+}
+
 // Guards against ejecting on the rate too late, and against ejecting so many
 // that the rest cannot carry the load.
 Test(upstream_pool, ejects_on_rate_and_at_most_half) {
