Add the dispatcher's decisions

Cause: entries need decision code that takes messages and time and does no I/O. The dispatcher keeps issued ids in a dense window, jobs in a table, and treats deadlines before every event, so that a process that was paused starts nothing late. Ruled out: saying not_run when a key cannot be claimed, as the first design said, because another copy under the key may have run at another entry; such refusals now say unknown. Ruled out as well: closing an id when its claim fails although a copy already found the claim and started under it.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -99,8 +99,6 @@
 if(TEST_SOURCES)
   add_executable(jaypick_tests ${TEST_SOURCES})
   target_include_directories(jaypick_tests PRIVATE ${CMAKE_SOURCE_DIR})
-  # Criterion's macros leave designated fields out and shadow names.
-  target_compile_options(jaypick_tests PRIVATE -Wno-missing-field-initializers)
   target_link_libraries(jaypick_tests PRIVATE PkgConfig::CRITERION ${JAYPICK_ALL}
                         $<TARGET_NAME_IF_EXISTS:jaypick_standins>
                         $<TARGET_NAME_IF_EXISTS:jaypick_bench_code>)
--- a/include/jaypick/dispatcher.h
+++ b/include/jaypick/dispatcher.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "jaypick/internal/admission.h"
+#include "jaypick/internal/mutant.h"
 #include "jaypick/internal/retry_budget.h"
 #include "jaypick/messages.h"
 #include "jaypick/placement.h"
@@ -72,10 +73,15 @@
   // Shortest attempt timeout, and its multiple of the learned p99 run time.
   Duration shortest_attempt_timeout = std::chrono::seconds(2);
   double attempt_timeout_factor = 8;
+  // Repeated placements per second that are allowed without a token, so that
+  // tasks that were refused do not wait for new load to earn tokens.
+  double retries_per_second_floor = 10;
   // Over all entries together; each takes its part by the listed entries.
   double key_claims_per_second = 120;
   // Null: nothing is reported.
   DispatchObserver* observer = nullptr;
+  // For tests only.
+  internal::Mutant mutant = internal::Mutant::kNone;
 };
 
 // Takes typed messages with the time and says what to do.
--- /dev/null
+++ b/include/jaypick/internal/job_table.h
@@ -0,0 +1,67 @@
+// Jobs under way, and ended jobs whose answers are kept.
+#ifndef JAYPICK_INTERNAL_JOB_TABLE_H_
+#define JAYPICK_INTERNAL_JOB_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+
+#include "jaypick/internal/job.h"
+#include "jaypick/time.h"
+
+namespace jaypick::internal {
+
+struct JobTableOptions {
+  Duration answer_retention{0};
+  std::size_t answer_bytes_limit = 0;
+};
+
+// Finds jobs by counter and forgets ended ones.
+//
+// An ended job is forgotten when its retention is over, or earlier, oldest
+// first, when kept answers exceed their limit. A job with a running attempt
+// stays until that attempt has ended, because its slot is still in use.
+class JobTable {
+ public:
+  explicit JobTable(JobTableOptions options);
+
+  void Add(JobPointer job);
+
+  // The job, or null.
+  Job* Find(std::uint64_t counter) const;
+
+  // Notes that `job` has ended; its answer is kept from now on.
+  void OnEnded(Job& job, TimePoint now);
+
+  // Forgets what need not be kept at `now`.
+  void Expire(TimePoint now);
+
+  // Time of the next expiry, if any.
+  std::optional<TimePoint> next_expiry() const;
+
+  std::size_t active() const { return active_; }
+  // Bytes held for `owner`, running and kept jobs together.
+  std::size_t owner_bytes(OwnerNumber owner) const;
+
+ private:
+  struct Kept {
+    std::uint64_t counter = 0;
+    TimePoint until;
+    std::size_t bytes = 0;
+  };
+
+  bool TryForget(const Kept& kept);
+
+  JobTableOptions options_;
+  std::unordered_map<std::uint64_t, JobPointer> jobs_;
+  std::unordered_map<OwnerNumber, std::size_t> owner_bytes_;
+  std::deque<Kept> kept_;
+  std::size_t kept_bytes_ = 0;
+  std::size_t active_ = 0;
+};
+
+}  // namespace jaypick::internal
+
+#endif  // JAYPICK_INTERNAL_JOB_TABLE_H_
--- /dev/null
+++ b/include/jaypick/internal/token_bucket.h
@@ -0,0 +1,58 @@
+// Rate limit on the runtime's clock.
+#ifndef JAYPICK_INTERNAL_TOKEN_BUCKET_H_
+#define JAYPICK_INTERNAL_TOKEN_BUCKET_H_
+
+#include <algorithm>
+#include <chrono>
+
+#include "jaypick/time.h"
+
+namespace jaypick::internal {
+
+// Gains `rate` tokens a second, up to `burst`; starts full.
+class TokenBucket {
+ public:
+  TokenBucket(double rate, double burst)
+      : rate_(rate), burst_(burst), tokens_(burst) {}
+
+  // Changes the rate; tokens above the new burst are lost.
+  void Limit(double rate, double burst) {
+    rate_ = rate;
+    burst_ = burst;
+    tokens_ = std::min(tokens_, burst);
+  }
+
+  bool TryTake(TimePoint now) {
+    Refill(now);
+    if (tokens_ < 1) {
+      return false;
+    }
+    tokens_ -= 1;
+    return true;
+  }
+
+  // Time until a token is there.
+  Duration Wait() const {
+    if (tokens_ >= 1 || rate_ <= 0) {
+      return Duration(0);
+    }
+    const std::chrono::duration<double> wait((1 - tokens_) / rate_);
+    return std::chrono::ceil<Duration>(wait);
+  }
+
+ private:
+  void Refill(TimePoint now) {
+    const std::chrono::duration<double> passed = now - refilled_;
+    tokens_ = std::min(burst_, tokens_ + passed.count() * rate_);
+    refilled_ = now;
+  }
+
+  double rate_;
+  double burst_;
+  double tokens_;
+  TimePoint refilled_;
+};
+
+}  // namespace jaypick::internal
+
+#endif  // JAYPICK_INTERNAL_TOKEN_BUCKET_H_
--- a/include/jaypick/internal/upstream_pool.h
+++ b/include/jaypick/internal/upstream_pool.h
@@ -91,6 +91,7 @@
 
   // The number of `service`; services are known by name in instance lists.
   ServiceNumber InternService(const std::string& service);
+  std::optional<ServiceNumber> FindService(const std::string& service) const;
 };
 
 }  // namespace jaypick::internal
--- a/include/jaypick/job.h
+++ b/include/jaypick/job.h
@@ -60,6 +60,7 @@
   kUnknownOwner,
   kNeedsNotOffered,
   kIdNeverIssued,
+  kNotSubmitted,
   kIdExpired,
   kIdClosed,
   kIdReused,
--- /dev/null
+++ b/src/dispatch/core.cc
@@ -0,0 +1,100 @@
+#include "dispatch/core.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jaypick {
+
+Dispatcher::Core::Core(DispatcherOptions options)
+    : options_(std::move(options)),
+      observer_(options_.observer == nullptr ? silent_observer_
+                                             : *options_.observer),
+      ids_(options_.id_window),
+      jobs_({.answer_retention = options_.answer_retention,
+             .answer_bytes_limit = options_.answer_bytes_limit}),
+      pool_(options_.placement, options_.seed),
+      budget_(options_.retry),
+      retry_floor_(options_.retries_per_second_floor, 1),
+      claim_bucket_(options_.key_claims_per_second,
+                    options_.key_claims_per_second),
+      cost_([this](internal::KindNumber kind) {
+        return catalogue_.entry(kind).run_time.mean();
+      }) {}
+
+void Dispatcher::Core::Handle(TimePoint now, Event event, Actions& actions) {
+  if (now < now_) {
+    Violation("time never decreases",
+              std::to_string(now.time_since_epoch().count()));
+  }
+  now_ = now;
+  actions_ = &actions;
+  // Deadlines go first, so that a process that was paused starts nothing whose
+  // deadline passed meanwhile.
+  RunTimers();
+  std::visit([this](auto& message) { On(message); }, event);
+  Pump();
+  FinishDrain();
+  actions_ = nullptr;
+}
+
+std::optional<TimePoint> Dispatcher::Core::next_wakeup() const {
+  std::optional<TimePoint> earliest;
+  const auto consider = [&earliest](std::optional<TimePoint> time) {
+    if (time && (!earliest || *time < *earliest)) {
+      earliest = time;
+    }
+  };
+  consider(timers_.next());
+  consider(jobs_.next_expiry());
+  if (!budget_waits_.empty()) {
+    consider(now_ + std::max(retry_floor_.Wait(), Duration(1)));
+  }
+  if (queued_tasks() > 0) {
+    consider(pool_.NextChange(now_));
+  }
+  if (drain_ && !drain_->is_finished) {
+    consider(std::max(drain_->refuse_from, now_ + Duration(1)));
+  }
+  return earliest;
+}
+
+const Configuration* Dispatcher::Core::configuration() const {
+  return configuration_ ? &*configuration_ : nullptr;
+}
+
+const InstanceList* Dispatcher::Core::instances() const {
+  return instances_ ? &*instances_ : nullptr;
+}
+
+std::size_t Dispatcher::Core::queued_tasks() const {
+  std::size_t queued = budget_waits_.size();
+  for (const internal::FairQueue& queue : queues_) {
+    queued += queue.size();
+  }
+  return queued;
+}
+
+std::vector<std::string> Dispatcher::Core::ejected_upstreams() const {
+  std::vector<std::string> names;
+  for (internal::UpstreamNumber number = 0; number < pool_.size(); ++number) {
+    if (pool_.is_ejected(number)) {
+      names.push_back(pool_.name(number));
+    }
+  }
+  return names;
+}
+
+void Dispatcher::Core::Violation(std::string_view invariant,
+                                 std::string detail) const {
+  observer_.OnViolation(invariant, detail);
+}
+
+void Dispatcher::Core::Expect(bool holds,
+                              std::string_view invariant,
+                              const Job& job) const {
+  if (!holds) {
+    Violation(invariant, ToString(IdOf(job.counter)));
+  }
+}
+
+}  // namespace jaypick
--- /dev/null
+++ b/src/dispatch/core_attempts.cc
@@ -0,0 +1,296 @@
+// Attempts: starting them, and what their outcomes mean for the job.
+#include <algorithm>
+#include <utility>
+
+#include "dispatch/core.h"
+
+namespace jaypick {
+
+namespace {
+
+using internal::AttemptEnd;
+using internal::TaskState;
+using internal::UpstreamNumber;
+
+struct EndOf {
+  AttemptEnd operator()(const attempt::Succeeded&) const {
+    return AttemptEnd::kSucceeded;
+  }
+  AttemptEnd operator()(const attempt::Failed&) const {
+    return AttemptEnd::kFailed;
+  }
+  AttemptEnd operator()(const attempt::Refused& refused) const {
+    return refused.cause == attempt::RefusalCause::kLeaving
+               ? AttemptEnd::kLeaving
+               : AttemptEnd::kBusy;
+  }
+  AttemptEnd operator()(const attempt::NotSent&) const {
+    return AttemptEnd::kNotSent;
+  }
+  AttemptEnd operator()(const attempt::Lost&) const {
+    return AttemptEnd::kFailed;
+  }
+};
+
+bool MayHaveRun(const AttemptOutcome& outcome) {
+  return !std::holds_alternative<attempt::Refused>(outcome) &&
+         !std::holds_alternative<attempt::NotSent>(outcome);
+}
+
+}  // namespace
+
+void Dispatcher::Core::On(const AttemptEnded& message) {
+  Task* const task = FindAwaited(message);
+  if (task == nullptr) {
+    observer_.OnStaleAnswer(message.attempt);
+    return;
+  }
+  EndAttempt(*task, message.outcome, message.reported_load);
+}
+
+void Dispatcher::Core::On(const Tick&) {}
+
+void Dispatcher::Core::RunTimers() {
+  while (const auto timer = timers_.PopDue(now_)) {
+    std::visit([this](const auto& due) { OnTimer(due); }, *timer);
+  }
+  jobs_.Expire(now_);
+}
+
+void Dispatcher::Core::OnTimer(const internal::JobDeadline& timer) {
+  Job* const job = jobs_.Find(timer.counter);
+  if (job != nullptr && !job->has_ended) {
+    FailJob(*job, Reason::kDeadlineExceeded,
+            "the deadline passed before all tasks had ended");
+  }
+}
+
+void Dispatcher::Core::OnTimer(const internal::AttemptTimeout& timer) {
+  Job* const job = jobs_.Find(timer.counter);
+  if (job == nullptr) {
+    return;
+  }
+  Task& task = job->tasks[timer.task];
+  const bool is_awaited =
+      task.state == TaskState::kRunning && task.attempts == timer.attempt + 1;
+  if (!is_awaited) {
+    return;
+  }
+  actions_->push_back(AbandonAttempt{.attempt = {.job = IdOf(timer.counter),
+                                                 .task = timer.task,
+                                                 .attempt = timer.attempt},
+                                     .upstream = pool_.name(task.upstream)});
+  EndAttempt(task, attempt::Lost{.cause = "no answer within the timeout"},
+             std::nullopt);
+}
+
+internal::Task* Dispatcher::Core::FindAwaited(const AttemptEnded& message) {
+  const AttemptId& id = message.attempt;
+  const bool is_ours = id.job.incarnation == options_.incarnation &&
+                       id.job.entry == options_.entry;
+  Job* const job = is_ours ? jobs_.Find(id.job.counter) : nullptr;
+  if (job == nullptr || id.task >= job->tasks.size()) {
+    return nullptr;
+  }
+  Task& task = job->tasks[id.task];
+  const bool is_current = (task.attempts == id.attempt + 1 &&
+                           pool_.name(task.upstream) == message.upstream) ||
+                          Is(internal::Mutant::kAcceptStaleAnswer);
+  const bool is_awaited = task.state == TaskState::kRunning && is_current;
+  return is_awaited ? &task : nullptr;
+}
+
+void Dispatcher::Core::EndAttempt(Task& task,
+                                  const AttemptOutcome& outcome,
+                                  std::optional<std::uint32_t> reported_load) {
+  Job& job = *task.job;
+  observer_.OnAttemptEnded(job.owner_name, catalogue_.entry(job.kind).kind.name,
+                           pool_.name(task.upstream), outcome);
+  pool_.OnAttemptEnded(task.upstream, std::visit(EndOf(), outcome),
+                       reported_load, task.started, now_);
+  --job.running;
+  --running_;
+  if (!MayHaveRun(outcome)) {
+    --job.starts;
+  }
+  task.state = TaskState::kDone;
+  if (job.has_ended) {
+    return;
+  }
+  std::visit([&](const auto& value) { OnOutcome(task, value); }, outcome);
+}
+
+void Dispatcher::Core::OnOutcome(Task& task,
+                                 const attempt::Succeeded& outcome) {
+  Job& job = *task.job;
+  job.results[task.index] = outcome.result;
+  catalogue_.Record(job.kind, now_ - task.started);
+  --job.unfinished;
+  --unfinished_tasks_;
+  const bool is_partial =
+      job.unfinished == 1 && Is(internal::Mutant::kPartialAnswer);
+  if (job.unfinished == 0 || is_partial) {
+    CompleteJob(job);
+  }
+}
+
+void Dispatcher::Core::OnOutcome(Task& task, const attempt::Failed& outcome) {
+  FailJob(*task.job, Reason::kTaskFailed,
+          "task " + std::to_string(task.index) + " failed: " + outcome.message);
+}
+
+void Dispatcher::Core::OnOutcome(Task& task, const attempt::Refused& outcome) {
+  if (outcome.cause == attempt::RefusalCause::kDeadline) {
+    FailJob(
+        *task.job, Reason::kDeadlineExceeded,
+        "the upstream had no time left for task " + std::to_string(task.index));
+    return;
+  }
+  PlaceAgain(task);
+}
+
+void Dispatcher::Core::OnOutcome(Task& task, const attempt::NotSent&) {
+  PlaceAgain(task);
+}
+
+void Dispatcher::Core::OnOutcome(Task& task, const attempt::Lost& outcome) {
+  Job& job = *task.job;
+  ++job.lost;
+  ++task.lost_attempts;
+  const bool may_repeat =
+      job.is_idempotent || Is(internal::Mutant::kRetryAnyKind);
+  const bool may_retry =
+      may_repeat && task.lost_attempts < options_.retry.attempts;
+  if (may_retry && budget_.TryTake()) {
+    Requeue(task);
+    return;
+  }
+  FailJob(job, Reason::kTaskOutcomeUnknown,
+          "task " + std::to_string(task.index) +
+              " was sent and got no valid answer: " + outcome.cause);
+}
+
+void Dispatcher::Core::PlaceAgain(Task& task) {
+  if (budget_.TryTake()) {
+    Requeue(task);
+    return;
+  }
+  task.state = TaskState::kAwaitingBudget;
+  budget_waits_.push_back({.counter = task.job->counter, .task = task.index});
+}
+
+void Dispatcher::Core::ReleaseBudgetWaits() {
+  while (!budget_waits_.empty()) {
+    const BudgetWait wait = budget_waits_.front();
+    Job* const job = jobs_.Find(wait.counter);
+    const bool still_waits = job != nullptr && job->tasks[wait.task].state ==
+                                                   TaskState::kAwaitingBudget;
+    if (!still_waits) {
+      budget_waits_.pop_front();
+      continue;
+    }
+    if (!budget_.TryTake() && !retry_floor_.TryTake(now_)) {
+      return;
+    }
+    budget_waits_.pop_front();
+    Requeue(job->tasks[wait.task]);
+  }
+}
+
+void Dispatcher::Core::Requeue(Task& task) {
+  task.state = TaskState::kQueued;
+  QueueOf(task.job->service).PushFront(task, next_sequence_++);
+}
+
+void Dispatcher::Core::Pump() {
+  ReleaseBudgetWaits();
+  for (internal::FairQueue& queue : queues_) {
+    PumpService(queue);
+  }
+}
+
+void Dispatcher::Core::PumpService(internal::FairQueue& queue) {
+  // Starts only take room away, so a kind that found none is not asked again.
+  std::vector<internal::KindNumber> blocked;
+  std::optional<UpstreamNumber> chosen;
+  const auto placeable = [&](internal::KindNumber kind) {
+    if (std::ranges::find(blocked, kind) != blocked.end()) {
+      return false;
+    }
+    chosen = pool_.Choose(RequestFor(kind), now_);
+    if (!chosen) {
+      blocked.push_back(kind);
+    }
+    return chosen.has_value();
+  };
+  while (!queue.is_empty()) {
+    internal::QueuedTask* const queued = queue.Pop(placeable, cost_);
+    if (queued == nullptr) {
+      return;
+    }
+    Start(static_cast<Task&>(*queued), *chosen);
+  }
+}
+
+void Dispatcher::Core::Start(Task& task, UpstreamNumber upstream) {
+  Job& job = *task.job;
+  CheckStart(task, upstream);
+  const AttemptId id{
+      .job = IdOf(job.counter), .task = task.index, .attempt = task.attempts};
+  if (task.attempts == 0) {
+    budget_.OnFirstStart();
+  }
+  task.state = TaskState::kRunning;
+  task.upstream = upstream;
+  task.started = now_;
+  ++task.attempts;
+  ++job.running;
+  ++job.starts;
+  ++running_;
+  timers_.Add(
+      now_ + AttemptTimeoutOf(job.kind),
+      internal::AttemptTimeout{
+          .counter = job.counter, .task = task.index, .attempt = id.attempt});
+  const Kind& kind = catalogue_.entry(job.kind).kind;
+  observer_.OnStarted(job.owner_name, kind.name, pool_.name(upstream),
+                      id.attempt);
+  actions_->push_back(StartAttempt{.attempt = id,
+                                   .upstream = pool_.name(upstream),
+                                   .address = pool_.address(upstream),
+                                   .service = kind.service,
+                                   .kind = kind.name,
+                                   .payload = job.payloads[task.index],
+                                   .remaining = job.deadline - now_});
+}
+
+void Dispatcher::Core::CheckStart(const Task& task, UpstreamNumber upstream) {
+  const Job& job = *task.job;
+  Expect(task.state == TaskState::kQueued && !job.has_ended,
+         "an attempt starts from the queue", job);
+  Expect(job.is_idempotent || task.lost_attempts == 0,
+         "a non-idempotent task runs at most once", job);
+  Expect(now_ < job.deadline, "nothing starts past its deadline", job);
+  Expect(!pool_.is_leaving(upstream), "a leaving upstream gets no new start",
+         job);
+  Expect(pool_.in_flight(upstream) <= pool_.in_flight_limit(upstream),
+         "in-flight attempts stay within the limit", job);
+}
+
+internal::PlacementRequest Dispatcher::Core::RequestFor(
+    internal::KindNumber kind) const {
+  const internal::KindEntry& entry = catalogue_.entry(kind);
+  return {.service = entry.service,
+          .needs = entry.kind.needs,
+          .run_time = entry.run_time.mean(),
+          .is_idempotent = entry.kind.idempotent};
+}
+
+Duration Dispatcher::Core::AttemptTimeoutOf(internal::KindNumber kind) const {
+  const double multiple =
+      options_.attempt_timeout_factor *
+      static_cast<double>(catalogue_.entry(kind).run_time.p99().count());
+  return std::max(options_.shortest_attempt_timeout,
+                  Duration(static_cast<Duration::rep>(multiple)));
+}
+
+}  // namespace jaypick
--- /dev/null
+++ b/src/dispatch/core_calls.cc
@@ -0,0 +1,357 @@
+// Calls of callers and of other entries.
+#include <algorithm>
+#include <utility>
+
+#include "dispatch/core.h"
+
+namespace jaypick {
+
+namespace {
+
+using internal::IdAbsence;
+using internal::IdRecord;
+using internal::IdState;
+
+Refusal MakeRefusal(RunState run, Reason reason, std::string message) {
+  return {.run = run, .reason = reason, .message = std::move(message)};
+}
+
+}  // namespace
+
+void Dispatcher::Core::On(ReserveIds& message) {
+  calls_.emplace(message.call.value, std::nullopt);
+  if (auto refusal = CheckEntry()) {
+    Refuse(message.call, *std::move(refusal));
+    return;
+  }
+  if (is_draining()) {
+    Refuse(message.call,
+           MakeRefusal(RunState::kNotRun, Reason::kDraining,
+                       "this entry shuts down; reserve ids at another one"));
+    return;
+  }
+  if (!configuration_->HasOwner(message.owner)) {
+    Refusal refusal = MakeRefusal(RunState::kNotRun, Reason::kUnknownOwner,
+                                  "no service gives this owner a share");
+    refusal.faults = {{.place = "/owner", .message = refusal.message}};
+    Refuse(message.call, std::move(refusal));
+    return;
+  }
+  const std::uint32_t count = std::min(message.count, options_.reserve_limit);
+  auto ids = IssueIds(catalogue_.InternOwner(message.owner), count);
+  if (ids.empty()) {
+    Refuse(message.call,
+           MakeRefusal(RunState::kNotRun, Reason::kOverloaded,
+                       "the oldest id of the window is still active"));
+    return;
+  }
+  Answer(message.call, ReservedIds{std::move(ids)});
+}
+
+void Dispatcher::Core::On(SubmitJob& message) {
+  calls_.emplace(message.call.value, std::nullopt);
+  Submission submission{.call = message.call,
+                        .request = std::move(message.request),
+                        .arrival = now_,
+                        .forwarded = message.forwarded};
+  const SubmissionIdentity identity = submission.request.identity;
+  if (const auto* key = std::get_if<SubmissionKey>(&identity)) {
+    SubmitUnderKey(std::move(submission), *key);
+    return;
+  }
+  SubmitUnderId(std::move(submission), std::get<JobId>(identity));
+}
+
+void Dispatcher::Core::On(QueryJob& message) {
+  calls_.emplace(message.call.value, std::nullopt);
+  if (!IsOwnId(message.id)) {
+    RouteElsewhere(message.call, message.id, message.forwarded, message);
+    return;
+  }
+  const IdRecord* const record =
+      FindRecord(message.call, message.id, message.owner);
+  if (record == nullptr) {
+    return;
+  }
+  if (record->state == IdState::kActive && message.wait) {
+    AddWaiter(*jobs_.Find(message.id.counter), message.call, 0);
+    return;
+  }
+  AnswerFromRecord(message.call, message.id.counter, *record);
+}
+
+void Dispatcher::Core::On(CancelJob& message) {
+  calls_.emplace(message.call.value, std::nullopt);
+  if (!IsOwnId(message.id)) {
+    RouteElsewhere(message.call, message.id, message.forwarded, message);
+    return;
+  }
+  const IdRecord* record = FindRecord(message.call, message.id, message.owner);
+  if (record == nullptr) {
+    return;
+  }
+  if (record->state == IdState::kReserved) {
+    ids_.Close(message.id.counter, RunState::kNotRun, Reason::kCancelled);
+  } else if (record->state == IdState::kActive) {
+    FailJob(*jobs_.Find(message.id.counter), Reason::kCancelled,
+            "cancelled by the caller");
+  }
+  record = ids_.Find(message.id.counter);
+  AnswerFromRecord(message.call, message.id.counter, *record);
+}
+
+void Dispatcher::Core::On(const CallClosed& message) {
+  const auto it = calls_.find(message.call.value);
+  if (it == calls_.end()) {
+    return;
+  }
+  if (it->second) {
+    if (Job* const job = jobs_.Find(*it->second)) {
+      std::erase_if(job->waiters, [&](const internal::Waiter& waiter) {
+        return waiter.call == message.call;
+      });
+    }
+  }
+  calls_.erase(it);
+}
+
+void Dispatcher::Core::On(const ForwardFailed& message) {
+  calls_.emplace(message.call.value, std::nullopt);
+  Refusal refusal =
+      MakeRefusal(RunState::kUnknown, Reason::kIssuerUnreachable,
+                  "the entry that issued the id cannot be reached");
+  refusal.id = message.id;
+  Refuse(message.call, std::move(refusal));
+}
+
+void Dispatcher::Core::SubmitUnderKey(Submission submission,
+                                      const SubmissionKey& key) {
+  // Until the claim has settled, another copy of the submission may have run at
+  // another entry, so every refusal here says `unknown`.
+  auto refusal = CheckEntry();
+  if (!refusal) {
+    refusal = CheckRequest(submission.request);
+  }
+  if (!refusal && !claim_bucket_.TryTake(now_)) {
+    refusal = MakeRefusal(RunState::kUnknown, Reason::kKeyClaimUnavailable,
+                          "too many submissions by key; reserve ids instead");
+    refusal->retry_after = claim_bucket_.Wait();
+  }
+  std::optional<std::uint64_t> counter;
+  if (!refusal) {
+    counter = ids_.Issue(catalogue_.InternOwner(submission.request.owner));
+    if (!counter) {
+      refusal = MakeRefusal(RunState::kUnknown, Reason::kOverloaded,
+                            "the oldest id of the window is still active");
+    }
+  }
+  if (refusal) {
+    refusal->run = RunState::kUnknown;
+    Refuse(submission.call, *std::move(refusal));
+    return;
+  }
+  if (Is(internal::Mutant::kStartWithoutClaim)) {
+    SubmitUnderId(std::move(submission), IdOf(*counter));
+    return;
+  }
+  observer_.OnKeyClaim();
+  actions_->push_back(ClaimKey{.call = submission.call,
+                               .owner = submission.request.owner,
+                               .key = key,
+                               .id = IdOf(*counter)});
+  const std::uint64_t call = submission.call.value;
+  claims_[call] = {.request = std::move(submission.request),
+                   .counter = *counter,
+                   .arrival = submission.arrival};
+}
+
+void Dispatcher::Core::On(const KeyClaimSettled& message) {
+  const auto it = claims_.find(message.call.value);
+  if (it == claims_.end()) {
+    return;
+  }
+  PendingClaim claim = std::move(it->second);
+  claims_.erase(it);
+  // The caller may have gone; the call must still exist for the answer.
+  calls_.emplace(message.call.value, std::nullopt);
+  Submission submission{.call = message.call,
+                        .request = std::move(claim.request),
+                        .arrival = claim.arrival};
+  if (std::holds_alternative<KeyClaimed>(message.result)) {
+    SubmitUnderId(std::move(submission), IdOf(claim.counter));
+    return;
+  }
+  // Another copy of the submission may have found this claim and submitted
+  // under the id before the claim's own answer arrived.
+  const bool was_found = ids_.Find(claim.counter)->state != IdState::kReserved;
+  const auto* const held = std::get_if<KeyHeld>(&message.result);
+  const bool is_own = held != nullptr && held->holder == IdOf(claim.counter);
+  if (was_found || is_own) {
+    SubmitUnderId(std::move(submission), IdOf(claim.counter));
+    return;
+  }
+  ids_.Close(claim.counter, RunState::kNotRun, Reason::kKeyClaimUnavailable);
+  if (held != nullptr) {
+    SubmitUnderId(std::move(submission), held->holder);
+    return;
+  }
+  Refuse(message.call,
+         MakeRefusal(RunState::kUnknown, Reason::kKeyClaimUnavailable,
+                     "the platform's service did not settle the claim; submit "
+                     "again under the same key"));
+}
+
+void Dispatcher::Core::SubmitUnderId(Submission submission, const JobId& id) {
+  submission.request.identity = id;
+  if (!IsOwnId(id)) {
+    RouteElsewhere(submission.call, id, submission.forwarded,
+                   SubmitJob{.call = submission.call,
+                             .request = std::move(submission.request)});
+    return;
+  }
+  const IdRecord* const record =
+      FindRecord(submission.call, id, submission.request.owner);
+  if (record == nullptr) {
+    return;
+  }
+  const bool may_reopen = record->state == IdState::kClosed &&
+                          Is(internal::Mutant::kReopenClosedId);
+  if (record->state == IdState::kReserved || may_reopen) {
+    SubmitReserved(std::move(submission), id.counter);
+    return;
+  }
+  Resubmit(submission, id.counter, *record);
+}
+
+void Dispatcher::Core::SubmitReserved(Submission submission,
+                                      std::uint64_t counter) {
+  auto refusal = CheckEntry();
+  if (!refusal) {
+    refusal = CheckRequest(submission.request);
+  }
+  if (refusal) {
+    CloseId(submission.call, counter, submission.request, *std::move(refusal));
+    return;
+  }
+  const internal::KindNumber kind =
+      *catalogue_.Find(submission.request.service, submission.request.kind);
+  refusal = CheckAdmissionOf(submission, kind);
+  if (refusal) {
+    CloseId(submission.call, counter, submission.request, *std::move(refusal));
+    return;
+  }
+  Admit(std::move(submission), counter, kind);
+}
+
+void Dispatcher::Core::Resubmit(const Submission& submission,
+                                std::uint64_t counter,
+                                const IdRecord& record) {
+  Job* const job = jobs_.Find(counter);
+  if (job != nullptr && job->digest != internal::DigestOf(submission.request)) {
+    Refusal refusal = MakeRefusal(RunState::kUnknown, Reason::kIdReused,
+                                  "the id was used for another job");
+    refusal.id = IdOf(counter);
+    Refuse(submission.call, std::move(refusal));
+    return;
+  }
+  if (record.state == IdState::kActive && submission.request.wait) {
+    AddWaiter(*job, submission.call, submission.request.reserve);
+    return;
+  }
+  if (job != nullptr) {
+    AnswerJob(*job, submission.call, submission.request.reserve);
+    return;
+  }
+  AnswerFromRecord(submission.call, counter, record);
+}
+
+const IdRecord* Dispatcher::Core::FindRecord(CallId call,
+                                             const JobId& id,
+                                             const std::string& owner) {
+  const IdRecord* const record = ids_.Find(id.counter);
+  std::optional<Refusal> refusal;
+  if (record == nullptr) {
+    const bool is_expired = ids_.AbsenceOf(id.counter) == IdAbsence::kExpired;
+    refusal = is_expired
+                  ? MakeRefusal(RunState::kUnknown, Reason::kIdExpired,
+                                "the id is older than the entry's records")
+                  : MakeRefusal(RunState::kNotRun, Reason::kIdNeverIssued,
+                                "the entry never issued this id");
+  } else if (record->owner != catalogue_.FindOwner(owner)) {
+    // Another owner's id is answered like an unknown one, but without the claim
+    // that it never ran.
+    refusal = MakeRefusal(RunState::kUnknown, Reason::kIdNeverIssued,
+                          "the id was not issued to this owner");
+  }
+  if (!refusal) {
+    return record;
+  }
+  refusal->id = id;
+  Refuse(call, *std::move(refusal));
+  return nullptr;
+}
+
+bool Dispatcher::Core::IsOwnId(const JobId& id) const {
+  return id.entry == options_.entry &&
+         (id.incarnation == options_.incarnation ||
+          Is(internal::Mutant::kIgnoreIncarnation));
+}
+
+void Dispatcher::Core::RouteElsewhere(
+    CallId call,
+    const JobId& id,
+    bool forwarded,
+    std::variant<SubmitJob, QueryJob, CancelJob> message) {
+  if (id.entry == options_.entry) {
+    Refusal refusal = MakeRefusal(RunState::kFailed, Reason::kIssuerGone,
+                                  "the process that issued the id has ended");
+    refusal.id = id;
+    Refuse(call, std::move(refusal));
+    return;
+  }
+  const Instance* const issuer = FindEntry(id.entry);
+  if (forwarded || issuer == nullptr) {
+    On(ForwardFailed{.call = call, .id = id});
+    return;
+  }
+  calls_.erase(call.value);
+  observer_.OnForwarded();
+  std::visit([](auto& call_message) { call_message.forwarded = true; },
+             message);
+  actions_->push_back(ForwardCall{.call = call,
+                                  .id = id,
+                                  .address = issuer->address,
+                                  .message = std::move(message)});
+}
+
+void Dispatcher::Core::AnswerFromRecord(CallId call,
+                                        std::uint64_t counter,
+                                        const IdRecord& record) {
+  if (Job* const job = jobs_.Find(counter)) {
+    AnswerJob(*job, call, 0);
+    return;
+  }
+  Refusal refusal;
+  switch (record.state) {
+    case IdState::kReserved:
+      refusal = MakeRefusal(RunState::kUnknown, Reason::kNotSubmitted,
+                            "nothing was submitted under this id so far");
+      break;
+    case IdState::kActive:
+      Violation("an active id has a job", ToString(IdOf(counter)));
+      break;
+    case IdState::kComplete:
+      refusal = MakeRefusal(RunState::kUnknown, Reason::kAnswerExpired,
+                            "the job was complete; its answer has expired");
+      break;
+    case IdState::kClosed:
+      refusal = MakeRefusal(
+          record.run, record.reason,
+          "the id is closed: " + std::string(ToString(record.reason)));
+      break;
+  }
+  refusal.id = IdOf(counter);
+  Refuse(call, std::move(refusal));
+}
+
+}  // namespace jaypick
--- /dev/null
+++ b/src/dispatch/core_checks.cc
@@ -0,0 +1,157 @@
+// Checks that a submission passes before it is admitted.
+#include <algorithm>
+#include <utility>
+
+#include "dispatch/core.h"
+#include "jaypick/internal/admission.h"
+
+namespace jaypick {
+namespace {
+
+constexpr std::size_t kMaxKeyBytes = 256;
+
+// Collects faults; the reason is that of a single fault, else `bad_request`.
+class FaultList {
+ public:
+  void Add(std::string place, Reason reason, std::string message) {
+    reason_ = faults_.empty() ? reason : Reason::kBadRequest;
+    faults_.push_back(
+        {.place = std::move(place), .message = std::move(message)});
+  }
+
+  std::optional<Refusal> ToRefusal() && {
+    if (faults_.empty()) {
+      return std::nullopt;
+    }
+    const std::string message =
+        faults_.size() == 1
+            ? faults_.front().message
+            : std::to_string(faults_.size()) + " faults in the request";
+    return Refusal{.run = RunState::kNotRun,
+                   .reason = reason_,
+                   .message = message,
+                   .faults = std::move(faults_)};
+  }
+
+ private:
+  std::vector<Fault> faults_;
+  Reason reason_ = Reason::kBadRequest;
+};
+
+void CheckShape(const JobRequest& request,
+                std::uint32_t reserve_limit,
+                FaultList& faults) {
+  const auto* const key = std::get_if<SubmissionKey>(&request.identity);
+  if (key != nullptr &&
+      (key->value.empty() || key->value.size() > kMaxKeyBytes)) {
+    faults.Add("/key", Reason::kBadRequest, "a key has 1 to 256 bytes");
+  }
+  if (request.tasks.empty()) {
+    faults.Add("/tasks", Reason::kBadRequest, "a job has at least one task");
+  }
+  if (request.tasks.size() > kMaxTasksPerJob) {
+    faults.Add("/tasks", Reason::kBadRequest, "a job has at most 410 tasks");
+  }
+  if (request.timeout && *request.timeout <= Duration(0)) {
+    faults.Add("/timeout_ms", Reason::kBadRequest,
+               "the deadline is in the past");
+  }
+  if (request.timeout && *request.timeout > kMaxJobTimeout) {
+    faults.Add("/timeout_ms", Reason::kBadRequest,
+               "a timeout is at most 60000 ms");
+  }
+  if (request.reserve > reserve_limit) {
+    faults.Add("/reserve", Reason::kBadRequest,
+               "at most " + std::to_string(reserve_limit) +
+                   " ids can be reserved at once");
+  }
+}
+
+}  // namespace
+
+std::optional<Refusal> Dispatcher::Core::CheckEntry() const {
+  if (!configuration_) {
+    return Refusal{.run = RunState::kNotRun,
+                   .reason = Reason::kNoConfiguration,
+                   .message = "this entry has no configuration yet"};
+  }
+  if (drain_ && now_ >= drain_->refuse_from) {
+    return Refusal{.run = RunState::kNotRun,
+                   .reason = Reason::kDraining,
+                   .message = "this entry shuts down; use another one"};
+  }
+  return std::nullopt;
+}
+
+std::optional<Refusal> Dispatcher::Core::CheckRequest(
+    const JobRequest& request) const {
+  FaultList faults;
+  CheckShape(request, options_.reserve_limit, faults);
+  const Kind* const kind =
+      configuration_->FindKind(request.service, request.kind);
+  if (kind == nullptr) {
+    faults.Add("/kind", Reason::kUnknownKind,
+               "no service \"" + request.service + "\" with kind \"" +
+                   request.kind + "\" is configured");
+  }
+  const Share* const share =
+      configuration_->FindShare(request.service, request.owner);
+  if (kind != nullptr && share == nullptr) {
+    faults.Add("/owner", Reason::kUnknownOwner,
+               "the owner has no share of service \"" + request.service + "\"");
+  }
+  if (kind == nullptr && !configuration_->HasOwner(request.owner)) {
+    faults.Add("/owner", Reason::kUnknownOwner,
+               "no service gives this owner a share");
+  }
+  const auto service =
+      kind == nullptr ? std::nullopt : pool_.FindService(kind->service);
+  // Without any upstream of the service, it is not the needs that are at fault.
+  if (service && pool_.IsOffered(*service, Needs()) &&
+      !pool_.IsOffered(*service, kind->needs)) {
+    faults.Add("/kind", Reason::kNeedsNotOffered,
+               "no upstream has what this kind needs");
+  }
+  return std::move(faults).ToRefusal();
+}
+
+std::optional<Refusal> Dispatcher::Core::CheckAdmissionOf(
+    const Submission& submission,
+    internal::KindNumber kind_number) {
+  const internal::KindEntry& entry = catalogue_.entry(kind_number);
+  const JobRequest& request = submission.request;
+  if (!pool_.IsOffered(entry.service, entry.kind.needs)) {
+    return Refusal{.run = RunState::kNotRun,
+                   .reason = Reason::kNoUpstream,
+                   .message = "no upstream of this failure domain serves \"" +
+                              request.service + "\"",
+                   .retry_after = std::chrono::seconds(1)};
+  }
+  const internal::OwnerNumber owner = catalogue_.InternOwner(request.owner);
+  const internal::FairQueue& queue = QueueOf(entry.service);
+  const Duration timeout = request.timeout.value_or(entry.kind.default_timeout);
+  const internal::AdmissionInput input{
+      .job_tasks = request.tasks.size(),
+      .job_bytes = internal::PayloadBytes(request),
+      .timeout = timeout - (now_ - submission.arrival),
+      .mean_run_time = entry.run_time.mean(),
+      .p99_run_time = entry.run_time.p99(),
+      .entry_tasks = unfinished_tasks_,
+      .queued_of_kind = queue.queued(owner, kind_number),
+      .queue_limit = entry.kind.queue_limit,
+      .owner_bytes = jobs_.owner_bytes(owner),
+      .owner_backlog = queue.Backlog(owner, cost_),
+      .owner_slots =
+          queue.EffectiveShare(owner) * pool_.UsableSlots(entry.service)};
+  const auto refusal = CheckAdmission(options_.admission, input);
+  if (!refusal) {
+    return std::nullopt;
+  }
+  return Refusal{
+      .run = RunState::kNotRun,
+      .reason = refusal->reason,
+      .message = "not admitted: " + std::string(ToString(refusal->reason)),
+      .retry_after = refusal->retry_after};
+}
+
+}  // namespace jaypick
--- a/src/job/names.cc
+++ b/src/job/names.cc
@@ -27,6 +27,8 @@
       return "needs_not_offered";
     case Reason::kIdNeverIssued:
       return "id_never_issued";
+    case Reason::kNotSubmitted:
+      return "not_submitted";
     case Reason::kIdExpired:
       return "id_expired";
     case Reason::kIdClosed:
