--- a/src/dispatch/core.cc
+++ b/src/dispatch/core.cc
@@ -9,6 +9,10 @@
     : options_(std::move(options)),
       observer_(options_.observer == nullptr ? silent_observer_
                                              : *options_.observer),
+      violation_handler_(
+          [this](std::string_view invariant, std::string_view detail) {
+            observer_.OnViolation(invariant, detail);
+          }),
       ids_(options_.id_window),
       jobs_({.answer_retention = options_.answer_retention,
              .answer_bytes_limit = options_.answer_bytes_limit}),
@@ -22,6 +26,7 @@
       }) {}
 
 void Dispatcher::Core::Handle(TimePoint now, Event event, Actions& actions) {
+  const internal::ViolationScope scope(violation_handler_);
   if (now < now_) {
     Violation("time never decreases",
               std::to_string(now.time_since_epoch().count()));
@@ -85,7 +90,7 @@
 }
 
 void Dispatcher::Core::Violation(std::string_view invariant,
-                                 std::string detail) const {
+                                 const std::string& detail) const {
   observer_.OnViolation(invariant, detail);
 }
 
--- a/src/dispatch/core.h
+++ b/src/dispatch/core.h
@@ -14,6 +14,7 @@
 #include "jaypick/dispatcher.h"
 #include "jaypick/internal/fair_queue.h"
 #include "jaypick/internal/id_window.h"
+#include "jaypick/internal/invariant.h"
 #include "jaypick/internal/job.h"
 #include "jaypick/internal/job_table.h"
 #include "jaypick/internal/kind_catalogue.h"
@@ -159,12 +160,14 @@
   internal::FairQueue& QueueOf(internal::ServiceNumber service);
   const Instance* FindEntry(const std::string& name) const;
   bool Is(internal::Mutant mutant) const { return options_.mutant == mutant; }
-  void Violation(std::string_view invariant, std::string detail) const;
+  void Violation(std::string_view invariant, const std::string& detail) const;
   void Expect(bool holds, std::string_view invariant, const Job& job) const;
 
   DispatcherOptions options_;
   DispatchObserver silent_observer_;
   DispatchObserver& observer_;
+  // Routes violations that queue and pool find to the observer.
+  internal::ViolationHandler violation_handler_;
   internal::IdWindow ids_;
   internal::JobTable jobs_;
   internal::KindCatalogue catalogue_;
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -154,7 +154,7 @@
 Test(dispatcher, paused_past_the_deadline_starts_nothing) {
   DispatcherRig rig;
   DispatcherRig::MakeReady(rig, 1);
-  rig.Submit(rig.MakeRequest(rig.Reserve(), 40));
+  rig.Submit(rig.MakeRequest(rig.Reserve(), 40, "match-wig"));
   const auto starts = rig.Of<StartAttempt>();
   cr_assert_lt(starts.size(), 40);
   rig.now += seconds(6);
