Add HTTP server and client on evhttp

All processes of the project need one HTTP layer that states its limits, ends each call exactly once and tells a request that was never written from one that may have been. evhttp stops reading while a handler works, so a client that goes away was invisible; the server re-enables reading without evhttp's read callback, which would end the process on pipelined data. Registering the close callback from the accept hook was ruled out because evhttp creates its connection object only afterwards; an event of the same loop round adopts it.

The client closes a connection after a timeout and after bytes beyond a response, and looks at an idle socket before using it again, so a stale answer is never taken for the next request's.

--- /dev/null
+++ b/src/http/client.cc
@@ -0,0 +1,361 @@
+#include "http/client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <list>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "http/evhttp_values.h"
+#include "http/socket_options.h"
+
+namespace jaypick::http {
+namespace {
+
+// Each call has a timer of its own; evhttp's must only be longer than those.
+constexpr int kConnectionSeconds = 3600;
+
+std::string HostHeader(const Address& address) {
+  return address.host + ":" + std::to_string(address.port);
+}
+
+}  // namespace
+
+class Client::Impl {
+ public:
+  Impl(event_base* base, ClientOptions options)
+      : base_(base), options_(options) {
+    deferred_ = event_new(base, -1, 0, &Impl::OnDeferred, this);
+  }
+
+  ~Impl() {
+    is_ending_ = true;
+    for (auto& [address, pool] : pools_) {
+      for (auto& connection : pool.connections) {
+        Free(*connection);
+      }
+    }
+    for (auto& connection : closed_) {
+      Free(*connection);
+    }
+    const std::list<Call> calls = std::exchange(calls_, {});
+    for (const Call& call : calls) {
+      event_free(call.timer);
+    }
+    std::vector<Ended> ended = std::exchange(ended_, {});
+    event_free(deferred_);
+    for (Ended& end : ended) {
+      end.callback(std::move(end.result));
+    }
+    for (const Call& call : calls) {
+      call.callback(ClientError{.not_sent = call.connection == nullptr,
+                                .message = "the client was closed"});
+    }
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  Duration timeout() const { return options_.timeout; }
+  std::size_t in_flight() const { return calls_.size() + ended_.size(); }
+
+  void Send(const Address& address,
+            Request request,
+            Duration timeout,
+            ClientCallback callback) {
+    if (is_ending_) {
+      callback(ClientError{.not_sent = true, .message = "client closed"});
+      return;
+    }
+    Pool& pool = pools_[address];
+    const auto call = calls_.insert(calls_.end(), Call{});
+    call->self = call;
+    call->client = this;
+    call->pool = &pool;
+    call->address = address;
+    call->request = std::move(request);
+    call->callback = std::move(callback);
+    call->timer = evtimer_new(base_, &Impl::OnTimeout, &*call);
+    const timeval time = ToTimeval(timeout);
+    evtimer_add(call->timer, &time);
+    pool.waiting.push_back(&*call);
+    StartWaiting(pool);
+  }
+
+ private:
+  struct Connection;
+  struct Pool;
+
+  struct Call {
+    std::list<Call>::iterator self;
+    Impl* client = nullptr;
+    Pool* pool = nullptr;
+    // Null while the call waits for a connection.
+    Connection* connection = nullptr;
+    Address address;
+    Request request;
+    ClientCallback callback;
+    event* timer = nullptr;
+  };
+
+  struct Connection {
+    Impl* client = nullptr;
+    Pool* pool = nullptr;
+    evhttp_connection* handle = nullptr;
+    event* idle_timer = nullptr;
+    Call* call = nullptr;
+    bool is_proven = false;
+    bool is_closed = false;
+  };
+
+  struct Pool {
+    std::list<std::unique_ptr<Connection>> connections;
+    std::list<Call*> waiting;
+  };
+
+  struct Ended {
+    ClientCallback callback;
+    ClientResult result;
+  };
+
+  void StartWaiting(Pool& pool) {
+    while (!pool.waiting.empty()) {
+      Connection* const connection = FindConnection(pool);
+      if (connection == nullptr) {
+        return;
+      }
+      Call& call = *pool.waiting.front();
+      pool.waiting.pop_front();
+      Start(call, *connection);
+    }
+  }
+
+  // An idle connection, or a new one if the pool is not full.
+  Connection* FindConnection(Pool& pool) {
+    for (auto it = pool.connections.begin(); it != pool.connections.end();) {
+      Connection& connection = **it++;
+      if (connection.call != nullptr) {
+        continue;
+      }
+      if (PeekIdleSocket(Socket(connection)) == IdleState::kReady) {
+        return &connection;
+      }
+      Close(connection);
+    }
+    return pool.connections.size() < options_.connections_per_address
+               ? Open(pool)
+               : nullptr;
+  }
+
+  Connection* Open(Pool& pool) {
+    const Address& address = pool.waiting.front()->address;
+    bufferevent* const socket =
+        bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE);
+    auto connection = std::make_unique<Connection>();
+    connection->client = this;
+    connection->pool = &pool;
+    connection->handle = evhttp_connection_base_bufferevent_new(
+        base_, nullptr, socket, address.host.c_str(), address.port);
+    evhttp_connection_set_timeout(connection->handle, kConnectionSeconds);
+    evhttp_connection_set_max_body_size(
+        connection->handle, static_cast<ev_ssize_t>(options_.body_limit_bytes));
+    evhttp_connection_set_closecb(connection->handle, &Impl::OnClose,
+                                  connection.get());
+    connection->idle_timer =
+        evtimer_new(base_, &Impl::OnIdleTimeout, connection.get());
+    pool.connections.push_back(std::move(connection));
+    return pool.connections.back().get();
+  }
+
+  static int Socket(const Connection& connection) {
+    return bufferevent_getfd(
+        evhttp_connection_get_bufferevent(connection.handle));
+  }
+
+  void Start(Call& call, Connection& connection) {
+    call.connection = &connection;
+    connection.call = &call;
+    evtimer_del(connection.idle_timer);
+    evhttp_request* const request =
+        evhttp_request_new(&Impl::OnResponse, &connection);
+    evkeyvalq& headers = *evhttp_request_get_output_headers(request);
+    evhttp_add_header(&headers, "Host", HostHeader(call.address).c_str());
+    AddHeaders(headers, call.request.headers);
+    const bool is_post = call.request.method == Method::kPost;
+    if (is_post &&
+        !FindHeader(call.request.headers, "Content-Type").has_value()) {
+      evhttp_add_header(&headers, "Content-Type", "application/json");
+    }
+    AppendText(evhttp_request_get_output_buffer(request),
+               std::move(call.request.body));
+    const std::string target =
+        EncodeTarget(call.request.path, call.request.query);
+    const int result = evhttp_make_request(
+        connection.handle, request, is_post ? EVHTTP_REQ_POST : EVHTTP_REQ_GET,
+        target.c_str());
+    if (result != 0) {
+      Close(connection);
+      End(call, ClientError{.not_sent = true, .message = "cannot connect"});
+      return;
+    }
+    if (!connection.is_proven) {
+      SetSocketOptions(Socket(connection));
+    }
+  }
+
+  static void OnResponse(evhttp_request* request, void* context) {
+    auto* const connection = static_cast<Connection*>(context);
+    connection->client->Finish(*connection, request);
+  }
+
+  void Finish(Connection& connection, evhttp_request* request) {
+    Call* const call = std::exchange(connection.call, nullptr);
+    if (call == nullptr) {
+      return;
+    }
+    Pool& pool = *connection.pool;
+    // evhttp reports a connection that could not be opened as a request without
+    // a status, and everything that fails later as no request at all.
+    const int status =
+        request == nullptr ? 0 : evhttp_request_get_response_code(request);
+    if (status == 0) {
+      Close(connection);
+      End(*call,
+          ClientError{.not_sent = request != nullptr,
+                      .message = request != nullptr ? "cannot connect"
+                                                    : "no valid response"});
+    } else {
+      connection.is_proven = true;
+      Response response = TakeResponse(request);
+      Release(connection);
+      End(*call, std::move(response));
+    }
+    StartWaiting(pool);
+  }
+
+  // Keeps the connection for the next request, unless bytes that follow the
+  // response show that the server is out of step.
+  void Release(Connection& connection) {
+    bufferevent* const socket =
+        evhttp_connection_get_bufferevent(connection.handle);
+    if (connection.is_closed ||
+        evbuffer_get_length(bufferevent_get_input(socket)) != 0) {
+      Close(connection);
+      return;
+    }
+    const timeval time = ToTimeval(options_.idle_timeout);
+    evtimer_add(connection.idle_timer, &time);
+  }
+
+  static void OnTimeout(int /*socket*/, short /*what*/, void* context) {
+    auto* const call = static_cast<Call*>(context);
+    call->client->TimeOut(*call);
+  }
+
+  void TimeOut(Call& call) {
+    Pool& pool = *call.pool;
+    ClientError error{.not_sent = true, .message = "timed out"};
+    if (call.connection != nullptr) {
+      Connection& connection = *call.connection;
+      error.not_sent =
+          !connection.is_proven && IsConnecting(Socket(connection));
+      connection.call = nullptr;
+      Close(connection);
+    } else {
+      pool.waiting.remove(&call);
+    }
+    End(call, std::move(error));
+    StartWaiting(pool);
+  }
+
+  static void OnIdleTimeout(int /*socket*/, short /*what*/, void* context) {
+    auto* const connection = static_cast<Connection*>(context);
+    connection->client->Close(*connection);
+  }
+
+  static void OnClose(evhttp_connection* /*handle*/, void* context) {
+    auto* const connection = static_cast<Connection*>(context);
+    connection->is_closed = true;
+    if (connection->call == nullptr) {
+      connection->client->Close(*connection);
+    }
+  }
+
+  // Takes the connection out of its pool. It is freed from the event loop,
+  // because evhttp may still be using it further up the stack.
+  void Close(Connection& connection) {
+    auto& connections = connection.pool->connections;
+    for (auto it = connections.begin(); it != connections.end(); ++it) {
+      if (it->get() == &connection) {
+        evtimer_del(connection.idle_timer);
+        closed_.splice(closed_.end(), connections, it);
+        event_active(deferred_, 0, 0);
+        return;
+      }
+    }
+  }
+
+  void Free(Connection& connection) {
+    evhttp_connection_set_closecb(connection.handle, nullptr, nullptr);
+    evhttp_connection_free(connection.handle);
+    event_free(connection.idle_timer);
+  }
+
+  void End(Call& call, ClientResult result) {
+    event_free(call.timer);
+    ended_.push_back({std::move(call.callback), std::move(result)});
+    calls_.erase(call.self);
+    event_active(deferred_, 0, 0);
+  }
+
+  static void OnDeferred(int /*socket*/, short /*what*/, void* context) {
+    static_cast<Impl*>(context)->RunDeferred();
+  }
+
+  void RunDeferred() {
+    for (auto& connection : std::exchange(closed_, {})) {
+      Free(*connection);
+    }
+    for (Ended& end : std::exchange(ended_, {})) {
+      end.callback(std::move(end.result));
+    }
+  }
+
+  event_base* base_;
+  ClientOptions options_;
+  event* deferred_ = nullptr;
+  bool is_ending_ = false;
+  std::map<Address, Pool> pools_;
+  std::list<Call> calls_;
+  std::list<std::unique_ptr<Connection>> closed_;
+  std::vector<Ended> ended_;
+};
+
+Client::Client(event_base* base, ClientOptions options)
+    : impl_(std::make_unique<Impl>(base, options)) {}
+Client::~Client() = default;
+
+void Client::Send(const Address& address,
+                  Request request,
+                  ClientCallback callback) {
+  impl_->Send(address, std::move(request), impl_->timeout(),
+              std::move(callback));
+}
+
+void Client::Send(const Address& address,
+                  Request request,
+                  Duration timeout,
+                  ClientCallback callback) {
+  impl_->Send(address, std::move(request), timeout, std::move(callback));
+}
+
+std::size_t Client::in_flight() const {
+  return impl_->in_flight();
+}
+
+}  // namespace jaypick::http
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -33,7 +33,7 @@
   std::size_t connections_per_address = 4;
   // An idle connection is closed after this time.
   Duration idle_timeout = std::chrono::seconds(30);
-  std::size_t body_limit_bytes = 8 * 1024 * 1024;
+  std::size_t body_limit_bytes = std::size_t{8} * 1024 * 1024;
 };
 
 // Sends requests over kept-alive connections, one in flight on each.
--- /dev/null
+++ b/src/http/http.cc
@@ -0,0 +1,27 @@
+#include "http/http.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace jaypick::http {
+namespace {
+
+bool EqualsIgnoringCase(std::string_view left, std::string_view right) {
+  return std::ranges::equal(left, right, [](unsigned char a, unsigned char b) {
+    return std::tolower(a) == std::tolower(b);
+  });
+}
+
+}  // namespace
+
+std::optional<std::string_view> FindHeader(const std::vector<Header>& headers,
+                                           std::string_view name) {
+  for (const Header& header : headers) {
+    if (EqualsIgnoringCase(header.name, name)) {
+      return header.value;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace jaypick::http
--- /dev/null
+++ b/src/http/server.cc
@@ -0,0 +1,409 @@
+#include "http/server.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+#include <map>
+#include <set>
+#include <stdexcept>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "http/evhttp_values.h"
+#include "http/socket_options.h"
+
+namespace jaypick::http {
+namespace {
+
+constexpr int kBacklog = 1024;
+constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kInternalError = 500;
+// Bytes of further requests that are read ahead while one is being handled.
+constexpr std::size_t kReadAheadBytes = std::size_t{64} * 1024;
+constexpr ev_uint16_t kAllMethods =
+    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+    EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_TRACE |
+    EVHTTP_REQ_CONNECT | EVHTTP_REQ_PATCH;
+constexpr std::string_view kTooManyConnections =
+    "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+    "Content-Length: 0\r\nRetry-After: 1\r\n\r\n";
+
+// Size of the socket address, 0 if `address.host` is not an IP number.
+int ToSocketAddress(const Address& address, sockaddr_storage& storage) {
+  auto* const v4 = reinterpret_cast<sockaddr_in*>(&storage);
+  if (::inet_pton(AF_INET, address.host.c_str(), &v4->sin_addr) == 1) {
+    v4->sin_family = AF_INET;
+    v4->sin_port = htons(address.port);
+    return sizeof(*v4);
+  }
+  auto* const v6 = reinterpret_cast<sockaddr_in6*>(&storage);
+  if (::inet_pton(AF_INET6, address.host.c_str(), &v6->sin6_addr) == 1) {
+    v6->sin6_family = AF_INET6;
+    v6->sin6_port = htons(address.port);
+    return sizeof(*v6);
+  }
+  errno = EINVAL;
+  return 0;
+}
+
+evconnlistener* Listen(event_base* base, const Address& address) {
+  sockaddr_storage storage{};
+  const int size = ToSocketAddress(address, storage);
+  evconnlistener* const listener =
+      size == 0 ? nullptr
+                : evconnlistener_new_bind(
+                      base, nullptr, nullptr,
+                      LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE |
+                          LEV_OPT_CLOSE_ON_EXEC,
+                      kBacklog, reinterpret_cast<sockaddr*>(&storage), size);
+  if (listener == nullptr) {
+    throw std::runtime_error("cannot listen on " + address.host + " port " +
+                             std::to_string(address.port) + ": " +
+                             std::strerror(errno));
+  }
+  SetSocketOptions(evconnlistener_get_fd(listener));
+  return listener;
+}
+
+std::uint16_t BoundPort(int socket) {
+  sockaddr_storage storage{};
+  socklen_t size = sizeof(storage);
+  if (::getsockname(socket, reinterpret_cast<sockaddr*>(&storage), &size) !=
+      0) {
+    return 0;
+  }
+  return storage.ss_family == AF_INET6
+             ? ntohs(reinterpret_cast<sockaddr_in6*>(&storage)->sin6_port)
+             : ntohs(reinterpret_cast<sockaddr_in*>(&storage)->sin_port);
+}
+
+// Lets the bufferevent notice that the peer closes while a request is being
+// handled. evhttp stops reading meanwhile, and treats data that arrives in this
+// state as a fatal error, so its read callback is taken out.
+void WatchForClose(bufferevent* connection) {
+  bufferevent_data_cb read = nullptr;
+  bufferevent_data_cb write = nullptr;
+  bufferevent_event_cb event = nullptr;
+  void* context = nullptr;
+  bufferevent_getcb(connection, &read, &write, &event, &context);
+  bufferevent_setcb(connection, nullptr, write, event, context);
+  bufferevent_setwatermark(connection, EV_READ, 0, kReadAheadBytes);
+  bufferevent_enable(connection, EV_READ);
+}
+
+}  // namespace
+
+// One request between its arrival and the last byte of its answer.
+class Responder::Call {
+ public:
+  evhttp_request* request = nullptr;
+  evhttp_connection* connection = nullptr;
+  bool answered = false;
+  // Null once the server is gone.
+  Server::Impl* server = nullptr;
+  std::function<void()> on_closed;
+};
+
+class Server::Impl {
+ public:
+  Impl(event_base* base, ServerOptions options)
+      : options_(std::move(options)),
+        listener_(Listen(base, options_.address)),
+        http_(evhttp_new(base)) {
+    port_ = BoundPort(evconnlistener_get_fd(listener_));
+    adopt_ = event_new(base, -1, 0, &Impl::OnAdopt, this);
+    const timeval idle = ToTimeval(options_.idle_timeout);
+    evhttp_set_timeout_tv(http_, &idle);
+    evhttp_set_max_body_size(
+        http_, static_cast<ev_ssize_t>(options_.body_limit_bytes));
+    evhttp_set_max_headers_size(
+        http_, static_cast<ev_ssize_t>(options_.header_limit_bytes));
+    evhttp_set_allowed_methods(http_, kAllMethods);
+    // Without it a client that is still writing its oversize body sees a reset
+    // in place of the 413.
+    evhttp_set_flags(http_, EVHTTP_SERVER_LINGERING_CLOSE);
+    evhttp_set_gencb(http_, &Impl::OnRequest, this);
+    evhttp_set_bevcb(http_, &Impl::OnAccept, this);
+    bound_ = evhttp_bind_listener(http_, listener_);
+  }
+
+  ~Impl() {
+    for (auto& [connection, call] : calls_) {
+      call->server = nullptr;
+      if (evhttp_request_get_connection(call->request) != nullptr) {
+        // evhttp frees it together with its connection.
+        call->request = nullptr;
+      }
+    }
+    for (evhttp_connection* const connection : connections_) {
+      evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    }
+    event_free(adopt_);
+    evhttp_free(http_);
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  void Handle(Method method, std::string path, Handler handler) {
+    handlers_[std::move(path)][method] = std::move(handler);
+  }
+
+  std::uint16_t port() const { return port_; }
+  std::size_t open_calls() const { return calls_.size(); }
+
+  void StopAccepting() {
+    CloseAfterAnswers();
+    if (bound_ != nullptr) {
+      evhttp_del_accept_socket(http_, bound_);
+      bound_ = nullptr;
+    }
+  }
+
+  void CloseAfterAnswers() { close_after_answers_ = true; }
+
+  void Answer(Responder::Call& call, Response response) {
+    evhttp_request* const request = std::exchange(call.request, nullptr);
+    call.answered = true;
+    call.on_closed = nullptr;
+    if (evhttp_request_get_connection(request) == nullptr) {
+      evhttp_request_free(request);
+      return;
+    }
+    bufferevent_setwatermark(evhttp_connection_get_bufferevent(call.connection),
+                             EV_READ, 0, 0);
+    evkeyvalq& headers = *evhttp_request_get_output_headers(request);
+    AddHeaders(headers, response.headers);
+    if (!response.content_type.empty()) {
+      evhttp_add_header(&headers, "Content-Type",
+                        response.content_type.c_str());
+    }
+    if (close_after_answers_) {
+      evhttp_add_header(&headers, "Connection", "close");
+    }
+    AppendText(evhttp_request_get_output_buffer(request),
+               std::move(response.body));
+    evhttp_request_set_on_complete_cb(request, &Impl::OnWritten, this);
+    evhttp_send_reply(request, response.status, nullptr, nullptr);
+  }
+
+ private:
+  using Methods = std::map<Method, Handler>;
+
+  // evhttp creates its connection object only after this callback, so the rest
+  // of the work is done by `Adopt`. That event runs before the new connection
+  // is polled for the first time.
+  static bufferevent* OnAccept(event_base* base, void* self) {
+    auto* const server = static_cast<Impl*>(self);
+    bufferevent* const connection = bufferevent_socket_new(base, -1, 0);
+    if (connection != nullptr) {
+      server->accepted_.push_back(connection);
+      event_active(server->adopt_, 0, 0);
+    }
+    return connection;
+  }
+
+  static void OnAdopt(int /*socket*/, short /*what*/, void* self) {
+    static_cast<Impl*>(self)->Adopt();
+  }
+
+  void Adopt() {
+    for (bufferevent* const accepted : std::exchange(accepted_, {})) {
+      void* context = nullptr;
+      bufferevent_getcb(accepted, nullptr, nullptr, nullptr, &context);
+      auto* const connection = static_cast<evhttp_connection*>(context);
+      if (connections_.size() >= options_.connection_limit) {
+        Refuse(connection, bufferevent_getfd(accepted));
+        continue;
+      }
+      connections_.insert(connection);
+      evhttp_connection_set_closecb(connection, &Impl::OnClose, this);
+    }
+  }
+
+  static void Refuse(evhttp_connection* connection, int socket) {
+    static_cast<void>(::send(socket, kTooManyConnections.data(),
+                             kTooManyConnections.size(),
+                             MSG_NOSIGNAL | MSG_DONTWAIT));
+    evhttp_connection_free(connection);
+  }
+
+  static void OnClose(evhttp_connection* connection, void* self) {
+    static_cast<Impl*>(self)->Close(connection);
+  }
+
+  void Close(evhttp_connection* connection) {
+    connections_.erase(connection);
+    const auto it = calls_.find(connection);
+    if (it == calls_.end()) {
+      return;
+    }
+    const std::shared_ptr<Responder::Call> call = std::move(it->second);
+    calls_.erase(it);
+    call->connection = nullptr;
+    if (const auto on_closed = std::exchange(call->on_closed, nullptr)) {
+      on_closed();
+    }
+  }
+
+  static void OnWritten(evhttp_request* request, void* self) {
+    auto* const server = static_cast<Impl*>(self);
+    server->calls_.erase(evhttp_request_get_connection(request));
+  }
+
+  static void OnRequest(evhttp_request* request, void* self) {
+    static_cast<Impl*>(self)->Dispatch(request);
+  }
+
+  void Dispatch(evhttp_request* request) {
+    auto call = std::make_shared<Responder::Call>();
+    call->request = request;
+    call->connection = evhttp_request_get_connection(request);
+    call->server = this;
+    calls_[call->connection] = call;
+    WatchForClose(evhttp_connection_get_bufferevent(call->connection));
+    Responder responder(std::move(call));
+    std::string path = DecodedPath(request);
+    const Methods* const methods = FindMethods(path);
+    if (methods == nullptr) {
+      responder.Send({.status = kNotFound,
+                      .headers = {},
+                      .body = R"({"error":"no such path"})"});
+      return;
+    }
+    const auto method = MethodOf(request);
+    const auto handler = method ? methods->find(*method) : methods->end();
+    if (handler == methods->end()) {
+      responder.Send({.status = kMethodNotAllowed,
+                      .headers = {{.name = "Allow", .value = Allow(*methods)}},
+                      .body = R"({"error":"method not allowed"})"});
+      return;
+    }
+    Request typed{
+        .method = *method,
+        .path = std::move(path),
+        .query = DecodedQuery(request),
+        .headers = CopyHeaders(*evhttp_request_get_input_headers(request)),
+        .body = TakeAll(evhttp_request_get_input_buffer(request))};
+    handler->second(std::move(typed), std::move(responder));
+  }
+
+  const Methods* FindMethods(const std::string& path) const {
+    const auto exact = handlers_.find(path);
+    if (exact != handlers_.end()) {
+      return &exact->second;
+    }
+    for (std::size_t slash = path.rfind('/'); slash != std::string::npos;
+         slash = slash == 0 ? std::string::npos : path.rfind('/', slash - 1)) {
+      const auto below = handlers_.find(path.substr(0, slash + 1));
+      if (below != handlers_.end()) {
+        return &below->second;
+      }
+    }
+    return nullptr;
+  }
+
+  static std::optional<Method> MethodOf(const evhttp_request* request) {
+    switch (evhttp_request_get_command(request)) {
+      case EVHTTP_REQ_GET:
+        return Method::kGet;
+      case EVHTTP_REQ_POST:
+        return Method::kPost;
+      default:
+        return std::nullopt;
+    }
+  }
+
+  static std::string Allow(const Methods& methods) {
+    std::string allow;
+    for (const auto& [method, handler] : methods) {
+      allow += allow.empty() ? "" : ", ";
+      allow += method == Method::kGet ? "GET" : "POST";
+    }
+    return allow;
+  }
+
+  ServerOptions options_;
+  evconnlistener* listener_;
+  evhttp* http_;
+  evhttp_bound_socket* bound_ = nullptr;
+  event* adopt_ = nullptr;
+  std::uint16_t port_ = 0;
+  bool close_after_answers_ = false;
+  std::map<std::string, Methods> handlers_;
+  std::vector<bufferevent*> accepted_;
+  std::set<evhttp_connection*> connections_;
+  // HTTP/1.1 has one request at a time on a connection.
+  std::unordered_map<evhttp_connection*, std::shared_ptr<Responder::Call>>
+      calls_;
+};
+
+Responder::Responder(std::shared_ptr<Call> call) : call_(std::move(call)) {}
+Responder::Responder(Responder&&) noexcept = default;
+Responder& Responder::operator=(Responder&& other) noexcept {
+  std::swap(call_, other.call_);
+  return *this;
+}
+
+Responder::~Responder() {
+  if (call_ != nullptr) {
+    Send({.status = kInternalError,
+          .headers = {},
+          .body = R"({"error":"the request was dropped"})"});
+  }
+}
+
+void Responder::Send(Response response) {
+  const std::shared_ptr<Call> call = std::exchange(call_, nullptr);
+  if (call == nullptr || call->answered) {
+    return;
+  }
+  if (call->server != nullptr) {
+    call->server->Answer(*call, std::move(response));
+  } else if (call->request != nullptr) {
+    evhttp_request_free(std::exchange(call->request, nullptr));
+  }
+}
+
+void Responder::OnClosed(std::function<void()> callback) {
+  if (call_ != nullptr) {
+    call_->on_closed = std::move(callback);
+  }
+}
+
+Server::Server(event_base* base, ServerOptions options)
+    : impl_(std::make_unique<Impl>(base, std::move(options))) {}
+Server::~Server() = default;
+
+void Server::Handle(Method method, std::string path, Handler handler) {
+  impl_->Handle(method, std::move(path), std::move(handler));
+}
+
+std::uint16_t Server::port() const {
+  return impl_->port();
+}
+
+void Server::StopAccepting() {
+  impl_->StopAccepting();
+}
+
+void Server::CloseAfterAnswers() {
+  impl_->CloseAfterAnswers();
+}
+
+std::size_t Server::open_calls() const {
+  return impl_->open_calls();
+}
+
+}  // namespace jaypick::http
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -19,8 +19,8 @@
 struct ServerOptions {
   // Port 0 lets the system choose one.
   Address address;
-  std::size_t body_limit_bytes = 8 * 1024 * 1024;
-  std::size_t header_limit_bytes = 16 * 1024;
+  std::size_t body_limit_bytes = std::size_t{8} * 1024 * 1024;
+  std::size_t header_limit_bytes = std::size_t{16} * 1024;
   // A connection without traffic for this time is closed.
   Duration idle_timeout = std::chrono::seconds(120);
   // Connections beyond this are answered with 503 and closed.
@@ -52,8 +52,9 @@
 
 // Serves HTTP/1.1 on one address.
 //
-// Bodies and headers beyond the limits are answered with 413 and 400 before a
-// handler sees them. Paths without a handler get 404, other methods 405.
+// Bodies and headers beyond the limits are answered with 413, malformed
+// requests with 400, before a handler sees them. Paths without a handler get
+// 404, other methods 405.
 class Server {
  public:
   // Throws `std::runtime_error` if the address cannot be bound.
@@ -82,6 +83,7 @@
   std::size_t open_calls() const;
 
  private:
+  friend class Responder;
   class Impl;
   std::unique_ptr<Impl> impl_;
 };
--- /dev/null
+++ b/src/http/socket_options.cc
@@ -0,0 +1,53 @@
+#include "http/socket_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace jaypick::http {
+namespace {
+
+constexpr int kKeepAliveIdleSeconds = 5;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes =
+    (kSilentPeerSeconds - kKeepAliveIdleSeconds) / kKeepAliveIntervalSeconds;
+constexpr int kMillisecondsPerSecond = 1000;
+
+void SetOption(int socket, int level, int name, int value) {
+  // A socket that refuses an option still works, only less well.
+  static_cast<void>(::setsockopt(socket, level, name, &value, sizeof(value)));
+}
+
+}  // namespace
+
+void SetSocketOptions(int socket) {
+  SetOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            kSilentPeerSeconds * kMillisecondsPerSecond);
+}
+
+IdleState PeekIdleSocket(int socket) {
+  char byte = 0;
+  const auto size = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+    return IdleState::kReady;
+  }
+  return IdleState::kClosedOrUnsolicitedData;
+}
+
+bool IsConnecting(int socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return false;
+  }
+  return info.tcpi_state == TCP_SYN_SENT;
+}
+
+}  // namespace jaypick::http
--- /dev/null
+++ b/tests/http_test.cc
@@ -0,0 +1,340 @@
+// HTTP server and client over real sockets.
+#include <criterion/criterion.h>
+
+#include <map>
+#include <optional>
+
+#include "http/client.h"
+#include "http/server.h"
+#include "tests/event_loop.h"
+
+namespace jaypick::http {
+namespace {
+
+using testing::EventLoop;
+using testing::RawClient;
+using testing::RawServer;
+
+const std::string kLoopback = "127.0.0.1";
+
+Request Post(std::string path, std::string body) {
+  return {.method = Method::kPost,
+          .path = std::move(path),
+          .query = {},
+          .headers = {},
+          .body = std::move(body)};
+}
+
+Request Get(std::string path) {
+  return {.method = Method::kGet,
+          .path = std::move(path),
+          .query = {},
+          .headers = {},
+          .body = {}};
+}
+
+Response Text(std::string body) {
+  return {.status = 200, .headers = {}, .body = std::move(body)};
+}
+
+ServerOptions AnyPort() {
+  return {.address = {.host = kLoopback, .port = 0}};
+}
+
+// Sends one request and runs the loop until it has ended.
+ClientResult Exchange(EventLoop& loop,
+                      Client& client,
+                      std::uint16_t port,
+                      Request request) {
+  std::optional<ClientResult> result;
+  client.Send({kLoopback, port}, std::move(request),
+              [&](ClientResult ended) { result = std::move(ended); });
+  cr_assert(loop.RunUntil([&] { return result.has_value(); }));
+  return *result;
+}
+
+int Status(const ClientResult& result) {
+  const auto* const response = std::get_if<Response>(&result);
+  return response == nullptr ? 0 : response->status;
+}
+
+const ClientError& Error(const ClientResult& result) {
+  cr_assert(std::holds_alternative<ClientError>(result));
+  return std::get<ClientError>(result);
+}
+
+struct Echo {
+  explicit Echo(EventLoop& loop, ServerOptions options = AnyPort())
+      : server(loop.base(), std::move(options)) {
+    server.Handle(Method::kPost, "/echo",
+                  [](Request request, Responder responder) {
+                    responder.Send(Text(request.body));
+                  });
+  }
+  Server server;
+};
+
+// Guards against path, query and body that change on the way.
+Test(http, request_arrives_as_sent) {
+  EventLoop loop;
+  Server server(loop.base(), AnyPort());
+  Request seen;
+  server.Handle(Method::kPost, "/a/",
+                [&](Request request, Responder responder) {
+                  seen = std::move(request);
+                  responder.Send(
+                      {.status = 202, .headers = {{"X-A", "b"}}, .body = "{}"});
+                });
+  Client client(loop.base(), {});
+  Request request = Post("/a/b c/d", std::string(100'000, 'x'));
+  request.query = {{"owner", "h\xc3\xa9 &=?"}, {"wait", ""}};
+  request.headers = {{"Jaypick-Attempt", "e.1"}};
+  const auto result = Exchange(loop, client, server.port(), request);
+  cr_assert(Status(result) == 202);
+  const auto& response = std::get<Response>(result);
+  cr_assert(FindHeader(response.headers, "x-a") == "b");
+  cr_assert(response.content_type == "application/json");
+  cr_assert(seen.path == request.path);
+  cr_assert(seen.query == request.query);
+  cr_assert(seen.body == request.body);
+  cr_assert(FindHeader(seen.headers, "jaypick-attempt") == "e.1");
+}
+
+// Guards against limits and unknown paths that reach a handler.
+Test(http, refuses_what_no_handler_takes) {
+  EventLoop loop;
+  ServerOptions options = AnyPort();
+  options.body_limit_bytes = 1000;
+  options.header_limit_bytes = 1000;
+  Echo echo(loop, options);
+  Client client(loop.base(), {});
+  const auto port = echo.server.port();
+  const std::string long_text(5'000'000, 'x');
+  Request header = Post("/echo", "");
+  header.headers = {{"X-Long", std::string(2000, 'x')}};
+  cr_assert(Status(Exchange(loop, client, port, Post("/", ""))) == 404);
+  cr_assert(Status(Exchange(loop, client, port, Get("/echo"))) == 405);
+  cr_assert(Status(Exchange(loop, client, port, Post("/echo", long_text))) ==
+            413);
+  cr_assert(Status(Exchange(loop, client, port, header)) == 400);
+  cr_assert(Status(Exchange(loop, client, port, Post("/echo", "x"))) == 200);
+  RawClient put(loop, port, "PUT /echo HTTP/1.1\r\nHost: x\r\n\r\n");
+  RawClient malformed(loop, port, "what is this\r\n\r\n");
+  cr_assert(loop.RunUntil([&] {
+    return put.received().find(" 405 ") != std::string::npos &&
+           malformed.received().find(" 400 ") != std::string::npos;
+  }));
+  cr_assert(put.received().find("Allow: POST") != std::string::npos);
+}
+
+// Guards against a connection count without bound.
+Test(http, refuses_connections_beyond_the_limit) {
+  EventLoop loop;
+  ServerOptions options = AnyPort();
+  options.connection_limit = 1;
+  Echo echo(loop, options);
+  RawClient first(loop, echo.server.port(), "");
+  loop.RunFor(50);
+  {
+    RawClient second(loop, echo.server.port(), "");
+    cr_assert(loop.RunUntil([&] { return second.is_closed(); }));
+    cr_assert(second.received().starts_with("HTTP/1.1 503 "));
+  }
+  first.Write("POST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\nx");
+  cr_assert(loop.RunUntil(
+      [&] { return first.received().starts_with("HTTP/1.1 200 "); }));
+}
+
+// Guards against a call that is never answered because its handler lost it.
+Test(http, dropped_responder_sends_500) {
+  EventLoop loop;
+  Server server(loop.base(), AnyPort());
+  server.Handle(Method::kGet, "/", [](Request, Responder) {});
+  Client client(loop.base(), {});
+  cr_assert(Status(Exchange(loop, client, server.port(), Get("/x"))) == 500);
+  cr_assert(server.open_calls() == 0);
+}
+
+// Guards against answers written to a connection that is gone, and against
+// pipelined bytes that end the process while a request is being handled.
+Test(http, notices_client_that_goes_away) {
+  EventLoop loop;
+  Server server(loop.base(), AnyPort());
+  std::vector<Responder> held;
+  bool closed = false;
+  server.Handle(Method::kGet, "/", [&](Request, Responder responder) {
+    responder.OnClosed([&] { closed = true; });
+    held.push_back(std::move(responder));
+  });
+  {
+    RawClient client(loop, server.port(), "GET / HTTP/1.1\r\n\r\n");
+    cr_assert(loop.RunUntil([&] { return held.size() == 1; }));
+    client.Write("GET / HTTP/1.1\r\n\r\n");
+    loop.RunFor(50);
+    cr_assert(!closed && held.size() == 1);
+  }
+  cr_assert(loop.RunUntil([&] { return closed; }));
+  held[0].Send(Text("late"));
+  cr_assert(server.open_calls() == 0);
+}
+
+// Guards against a responder that outlives its server.
+Test(http, responder_outlives_server) {
+  EventLoop loop;
+  std::optional<Responder> held;
+  {
+    Server server(loop.base(), AnyPort());
+    server.Handle(Method::kGet, "/", [&](Request, Responder responder) {
+      held = std::move(responder);
+    });
+    RawClient client(loop, server.port(), "GET / HTTP/1.1\r\n\r\n");
+    cr_assert(loop.RunUntil([&] { return held.has_value(); }));
+  }
+  held->Send(Text("late"));
+}
+
+// Guards against a shutdown that cuts off an answer, or keeps connections.
+Test(http, closes_after_answers) {
+  EventLoop loop;
+  Server server(loop.base(), AnyPort());
+  std::optional<Responder> held;
+  server.Handle(Method::kGet, "/", [&](Request, Responder responder) {
+    held = std::move(responder);
+  });
+  RawClient client(loop, server.port(), "GET / HTTP/1.1\r\n\r\n");
+  cr_assert(loop.RunUntil([&] { return held.has_value(); }));
+  server.StopAccepting();
+  const std::string body(4'000'000, 'x');
+  held->Send(Text(body));
+  cr_assert(server.open_calls() == 1);
+  cr_assert(loop.RunUntil([&] { return server.open_calls() == 0; }));
+  cr_assert(loop.RunUntil([&] { return client.is_closed(); }));
+  cr_assert(client.received().find("Connection: close") != std::string::npos);
+  cr_assert(client.received().ends_with(body));
+}
+
+// Guards against waiting for ever, and against reuse of a silent connection.
+Test(http, times_out_and_replaces_connection) {
+  EventLoop loop;
+  RawServer server(loop, [](bufferevent*, std::string&) {});
+  Client client(loop.base(), {.timeout = std::chrono::milliseconds(50),
+                              .connections_per_address = 1});
+  cr_assert(!Error(Exchange(loop, client, server.port(), Get("/"))).not_sent);
+  cr_assert(!Error(Exchange(loop, client, server.port(), Get("/"))).not_sent);
+  cr_assert(server.accepted() == 2);
+  cr_assert(loop.RunUntil([&] { return server.closed() == 2; }));
+}
+
+// Guards against a `not_sent` that is false, and against a second sending.
+Test(http, tells_not_sent_from_lost) {
+  EventLoop loop;
+  Client client(loop.base(), {});
+  const auto refused = Exchange(loop, client, testing::UnusedPort(), Get("/"));
+  cr_assert(Error(refused).not_sent);
+  for (const std::string answer :
+       {"", "garbage\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx"}) {
+    std::size_t requests = 0;
+    RawServer server(loop, [&](bufferevent* socket, std::string& received) {
+      ++requests;
+      received.clear();
+      RawServer::WriteAndClose(socket, answer);
+    });
+    const auto lost = Exchange(loop, client, server.port(), Get("/"));
+    cr_assert(!Error(lost).not_sent);
+    loop.RunFor(50);
+    cr_assert(requests == 1);
+  }
+}
+
+// Guards against answers that reach another request, in any order of arrival.
+Test(http, answers_match_their_requests) {
+  EventLoop loop;
+  Server server(loop.base(), AnyPort());
+  std::vector<std::pair<std::string, Responder>> held;
+  server.Handle(Method::kPost, "/", [&](Request request, Responder responder) {
+    held.emplace_back(request.body, std::move(responder));
+    while (held.size() >= 3) {
+      auto [body, oldest] = std::move(held[held.size() - 2]);
+      held.erase(held.end() - 2);
+      oldest.Send(Text(body));
+    }
+  });
+  Client client(loop.base(), {.connections_per_address = 4});
+  std::map<std::string, std::string> answers;
+  const std::size_t count = 200;
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::string body = std::to_string(i);
+    client.Send({kLoopback, server.port()}, Post("/", body),
+                [&answers, body](ClientResult result) {
+                  answers[body] = std::get<Response>(result).body;
+                });
+  }
+  cr_assert(loop.RunUntil([&] {
+    if (answers.size() + held.size() == count) {
+      held.clear();
+    }
+    return answers.size() == count;
+  }));
+  std::size_t wrong = 0;
+  for (const auto& [request, answer] : answers) {
+    wrong += answer != request && answer.find("dropped") == std::string::npos;
+  }
+  cr_assert(wrong == 0);
+}
+
+// Guards against a second response, sent unasked, that is taken for the answer
+// to the next request on the connection.
+Test(http, unsolicited_response_is_not_an_answer) {
+  EventLoop loop;
+  int requests = 0;
+  RawServer server(loop, [&](bufferevent* socket, std::string& received) {
+    received.clear();
+    const std::string number = std::to_string(requests++);
+    RawServer::Write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
+                                 number +
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
+                                 "x");
+  });
+  Client client(loop.base(), {.connections_per_address = 1});
+  for (const char* expected : {"0", "1", "2"}) {
+    const auto result = Exchange(loop, client, server.port(), Get("/"));
+    cr_assert(std::get<Response>(result).body == expected);
+  }
+  cr_assert(server.accepted() == 3);
+}
+
+// Guards against a kept connection that the server closed meanwhile.
+Test(http, replaces_closed_idle_connection) {
+  EventLoop loop;
+  std::optional<Echo> echo;
+  echo.emplace(loop);
+  Client client(loop.base(), {});
+  const auto port = echo->server.port();
+  cr_assert(Status(Exchange(loop, client, port, Post("/echo", "a"))) == 200);
+  echo.reset();
+  ServerOptions same = AnyPort();
+  same.address.port = port;
+  echo.emplace(loop, same);
+  cr_assert(Status(Exchange(loop, client, port, Post("/echo", "b"))) == 200);
+}
+
+// Guards against calls that are lost when the client is closed.
+Test(http, closing_client_ends_its_requests) {
+  EventLoop loop;
+  RawServer server(loop, [](bufferevent*, std::string&) {});
+  int errors = 0;
+  {
+    Client client(loop.base(), {.connections_per_address = 1});
+    for (int i = 0; i < 3; ++i) {
+      client.Send({kLoopback, server.port()}, Get("/"),
+                  [&](ClientResult) { ++errors; });
+    }
+    loop.RunFor(20);
+    cr_assert(client.in_flight() == 3);
+  }
+  cr_assert(errors == 3);
+}
+
+}  // namespace
+}  // namespace jaypick::http
