Add the JSON codec and content digest of Configuration

The head key, the peer exchange and the operator API carry a configuration as JSON, so one strict codec serves all three. A digest that does not match the content is a finding too. The digest is XXH3 over JSON with sorted rows, so the order of rows in a sheet does not count as a change. Durations are whole milliseconds, as sheets state them.

--- /dev/null
+++ b/include/jaypick/configuration_codec.h
@@ -0,0 +1,41 @@
+// JSON form and digest of a configuration.
+#ifndef JAYPICK_CONFIGURATION_CODEC_H_
+#define JAYPICK_CONFIGURATION_CODEC_H_
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "jaypick/configuration.h"
+#include "jaypick/source_region.h"
+
+namespace jaypick {
+
+// The digest of `content`: xxHash of its canonical JSON, 16 hex digits.
+//
+// Canonical JSON has sorted members, sorted rows and no white space, so the
+// order of rows in a sheet doesn't change the digest.
+std::string ContentDigest(const ConfigurationContent& content);
+
+// A configuration of `content` whose header carries the content's digest.
+Configuration MakeConfiguration(ConfigurationHeader header,
+                                ConfigurationContent content);
+
+// The canonical JSON of `configuration`, on one line.
+//
+// Durations are written in whole milliseconds, as sheets state them.
+std::string EncodeConfiguration(const Configuration& configuration);
+
+// Reads what `EncodeConfiguration` writes.
+//
+// Unknown, missing and duplicate members, values of another type or out of
+// range, and a digest that doesn't match the content are findings. All are
+// reported at once; `source` names the text in them, and the key of a finding
+// is a JSON pointer.
+std::variant<Configuration, Findings> DecodeConfiguration(
+    std::string_view text,
+    std::string_view source = "configuration");
+
+}  // namespace jaypick
+
+#endif  // JAYPICK_CONFIGURATION_CODEC_H_
--- /dev/null
+++ b/src/configuration/codec.cc
@@ -0,0 +1,192 @@
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "configuration/json_reader.h"
+#include "jaypick/configuration_codec.h"
+
+namespace jaypick {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint64_t kLargestUint32 =
+    std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint64_t kLargestPercent = 100;
+constexpr std::size_t kDigestDigits = 16;
+// A day: far beyond any timeout, and far below overflow in microseconds.
+constexpr std::uint64_t kLargestDurationMs = 86'400'000;
+
+json ToJson(const Needs& needs) {
+  return {{"cpus", needs.cpus},
+          {"memory_mb", needs.memory_mb},
+          {"accelerators", needs.accelerators}};
+}
+
+json ToJson(const Kind& kind) {
+  return {{"service", kind.service},
+          {"name", kind.name},
+          {"idempotent", kind.idempotent},
+          {"default_timeout_ms", ToMilliseconds(kind.default_timeout)},
+          {"declared_run_time_ms", ToMilliseconds(kind.declared_run_time)},
+          {"needs", ToJson(kind.needs)},
+          {"queue_limit", kind.queue_limit}};
+}
+
+json ToJson(const Service& service) {
+  return json::object({{"name", service.name}});
+}
+
+json ToJson(const Share& share) {
+  return {{"service", share.service},
+          {"owner", share.owner},
+          {"percent", share.percent}};
+}
+
+template <typename Row>
+json ToSortedArray(std::vector<Row> rows) {
+  std::ranges::sort(rows);
+  json array = json::array();
+  for (const Row& row : rows) {
+    array.push_back(ToJson(row));
+  }
+  return array;
+}
+
+json ToJson(const ConfigurationContent& content) {
+  return {{"services", ToSortedArray(content.services)},
+          {"kinds", ToSortedArray(content.kinds)},
+          {"shares", ToSortedArray(content.shares)}};
+}
+
+// Names were checked when the sheet was read; a replacement character is better
+// than an exception for text from elsewhere.
+std::string Dump(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+class Decoder {
+ public:
+  Decoder(std::string_view source, Findings& findings)
+      : source_(source), findings_(findings) {}
+
+  Configuration ReadConfiguration(const json& value) {
+    ObjectReader reader(value, "", source_, findings_);
+    ConfigurationHeader header{
+        .version = reader.Number("version"),
+        .author = reader.Text("author"),
+        .operation_id = reader.Text("operation_id"),
+        .created_unix_ms = reader.Integer("created_unix_ms"),
+        .digest = reader.Text("digest")};
+    ConfigurationContent content{
+        .services = ReadRows<Service>(reader, "services"),
+        .kinds = ReadRows<Kind>(reader, "kinds"),
+        .shares = ReadRows<Share>(reader, "shares")};
+    reader.Finish();
+    if (findings_.empty() && header.digest != ContentDigest(content)) {
+      reader.Report("digest", "does not match the content");
+    }
+    return {std::move(header), std::move(content)};
+  }
+
+ private:
+  template <typename Row>
+  std::vector<Row> ReadRows(ObjectReader& parent, const std::string& name) {
+    std::vector<Row> rows;
+    for (const json& value : parent.Array(name)) {
+      const std::string pointer =
+          parent.PointerTo(name) + "/" + std::to_string(rows.size());
+      ObjectReader reader(value, pointer, source_, findings_);
+      rows.emplace_back();
+      Read(reader, rows.back());
+      reader.Finish();
+    }
+    return rows;
+  }
+
+  void Read(ObjectReader& reader, Service& service) {
+    service.name = reader.Text("name");
+  }
+
+  void Read(ObjectReader& reader, Share& share) {
+    share.service = reader.Text("service");
+    share.owner = reader.Text("owner");
+    share.percent =
+        static_cast<std::uint32_t>(reader.Number("percent", kLargestPercent));
+  }
+
+  void Read(ObjectReader& reader, Kind& kind) {
+    kind.service = reader.Text("service");
+    kind.name = reader.Text("name");
+    kind.idempotent = reader.Boolean("idempotent");
+    kind.default_timeout = ReadDuration(reader, "default_timeout_ms");
+    kind.declared_run_time = ReadDuration(reader, "declared_run_time_ms");
+    kind.queue_limit = static_cast<std::uint32_t>(
+        reader.Number("queue_limit", kLargestUint32));
+    ObjectReader needs(reader.Object("needs"), reader.PointerTo("needs"),
+                       source_, findings_);
+    kind.needs.cpus =
+        static_cast<std::uint32_t>(needs.Number("cpus", kLargestUint32));
+    kind.needs.memory_mb = needs.Number("memory_mb");
+    kind.needs.accelerators = static_cast<std::uint32_t>(
+        needs.Number("accelerators", kLargestUint32));
+    needs.Finish();
+  }
+
+  static Duration ReadDuration(ObjectReader& reader, const std::string& name) {
+    return std::chrono::milliseconds(reader.Number(name, kLargestDurationMs));
+  }
+
+  std::string_view source_;
+  Findings& findings_;
+};
+
+}  // namespace
+
+std::string ContentDigest(const ConfigurationContent& content) {
+  const std::string text = Dump(ToJson(content));
+  char digits[kDigestDigits + 1];
+  std::snprintf(
+      digits, sizeof(digits), "%016llx",
+      static_cast<unsigned long long>(XXH3_64bits(text.data(), text.size())));
+  return digits;
+}
+
+Configuration MakeConfiguration(ConfigurationHeader header,
+                                ConfigurationContent content) {
+  header.digest = ContentDigest(content);
+  return {std::move(header), std::move(content)};
+}
+
+std::string EncodeConfiguration(const Configuration& configuration) {
+  const ConfigurationHeader& header = configuration.header();
+  json value = ToJson(configuration.content());
+  value["version"] = header.version;
+  value["author"] = header.author;
+  value["operation_id"] = header.operation_id;
+  value["created_unix_ms"] = header.created_unix_ms;
+  value["digest"] = header.digest;
+  return Dump(value);
+}
+
+std::variant<Configuration, Findings> DecodeConfiguration(
+    std::string_view text,
+    std::string_view source) {
+  Findings findings;
+  const auto value = ParseJson(text, source, findings);
+  if (!value) {
+    return findings;
+  }
+  Configuration configuration =
+      Decoder(source, findings).ReadConfiguration(*value);
+  if (!findings.empty()) {
+    return findings;
+  }
+  return configuration;
+}
+
+}  // namespace jaypick
