--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -23,9 +23,10 @@
                                                       ELPP_NO_LOG_TO_FILE)
 
 find_library(CSV_LIBRARY csv REQUIRED)
+pkg_check_modules(ICU REQUIRED IMPORTED_TARGET icu-uc icu-i18n)
 
 jaypick_optional_library(jaypick_configuration FOLDERS configuration LINK
-  jaypick_core nlohmann_json::nlohmann_json ${CSV_LIBRARY})
+  jaypick_core nlohmann_json::nlohmann_json ${CSV_LIBRARY} PkgConfig::ICU)
 jaypick_optional_library(jaypick_settings FOLDERS settings LINK
   jaypick_core nlohmann_json::nlohmann_json)
 jaypick_optional_library(jaypick_http FOLDERS http LINK
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -6,7 +6,7 @@
   g++ cmake ninja-build pkg-config clang-format clang-tidy cppcheck curl
   libevent-dev libssl-dev prometheus-cpp-dev libabsl-dev libeasyloggingpp-dev
   libcriterion-dev nlohmann-json3-dev libcsv-dev libxxhash-dev libboost-dev
-  librapidcheck-dev libvalijson-dev
+  librapidcheck-dev libvalijson-dev libicu-dev
 )
 
 missing=()
