Compare two configurations in words, numbers and JSON

Operators have to see what a sheet changes before they apply it, and a refused apply has to show how the head differs. Compare matches services, kinds and owners' shares by name, so the order of rows makes no change, and lists each field that differs with both values and the signed difference. Warnings cover what the numbers alone do not show: removed subjects that may still have work, a kind that becomes or stops being idempotent, grown needs, a lowered queue limit, and shares or run times that jump by a factor of 2 or 10, where a typing error is likelier than an adjustment. JSON values keep their type; the text is included so that a client needs no second formatter.

--- a/src/configuration/codec.cc
+++ b/src/configuration/codec.cc
@@ -1,11 +1,11 @@
 #include <xxhash.h>
 
-#include <algorithm>
 #include <cstdio>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "configuration/json_forms.h"
 #include "configuration/json_reader.h"
 #include "jaypick/configuration_codec.h"
 
@@ -21,54 +21,6 @@
 // A day: far beyond any timeout, and far below overflow in microseconds.
 constexpr std::uint64_t kLargestDurationMs = 86'400'000;
 
-json ToJson(const Needs& needs) {
-  return {{"cpus", needs.cpus},
-          {"memory_mb", needs.memory_mb},
-          {"accelerators", needs.accelerators}};
-}
-
-json ToJson(const Kind& kind) {
-  return {{"service", kind.service},
-          {"name", kind.name},
-          {"idempotent", kind.idempotent},
-          {"default_timeout_ms", ToMilliseconds(kind.default_timeout)},
-          {"declared_run_time_ms", ToMilliseconds(kind.declared_run_time)},
-          {"needs", ToJson(kind.needs)},
-          {"queue_limit", kind.queue_limit}};
-}
-
-json ToJson(const Service& service) {
-  return json::object({{"name", service.name}});
-}
-
-json ToJson(const Share& share) {
-  return {{"service", share.service},
-          {"owner", share.owner},
-          {"percent", share.percent}};
-}
-
-template <typename Row>
-json ToSortedArray(std::vector<Row> rows) {
-  std::ranges::sort(rows);
-  json array = json::array();
-  for (const Row& row : rows) {
-    array.push_back(ToJson(row));
-  }
-  return array;
-}
-
-json ToJson(const ConfigurationContent& content) {
-  return {{"services", ToSortedArray(content.services)},
-          {"kinds", ToSortedArray(content.kinds)},
-          {"shares", ToSortedArray(content.shares)}};
-}
-
-// Names were checked when the sheet was read; a replacement character is better
-// than an exception for text from elsewhere.
-std::string Dump(const json& value) {
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 class Decoder {
  public:
   Decoder(std::string_view source, Findings& findings)
@@ -163,14 +115,7 @@
 }
 
 std::string EncodeConfiguration(const Configuration& configuration) {
-  const ConfigurationHeader& header = configuration.header();
-  json value = ToJson(configuration.content());
-  value["version"] = header.version;
-  value["author"] = header.author;
-  value["operation_id"] = header.operation_id;
-  value["created_unix_ms"] = header.created_unix_ms;
-  value["digest"] = header.digest;
-  return Dump(value);
+  return Dump(ToJson(configuration));
 }
 
 std::variant<Configuration, Findings> DecodeConfiguration(
--- /dev/null
+++ b/src/configuration/json_forms.h
@@ -0,0 +1,27 @@
+// JSON values of configurations, differences and findings.
+#ifndef JAYPICK_CONFIGURATION_JSON_FORMS_H_
+#define JAYPICK_CONFIGURATION_JSON_FORMS_H_
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "jaypick/configuration.h"
+#include "jaypick/configuration_diff.h"
+#include "jaypick/source_region.h"
+
+namespace jaypick {
+
+nlohmann::json ToJson(const ConfigurationContent& content);
+nlohmann::json ToJson(const Configuration& configuration);
+nlohmann::json ToJson(const ConfigurationDiff& diff);
+
+// [{"row", "column", "key", "message"}]
+nlohmann::json ToJson(const Findings& findings);
+
+// `value` on one line, with sorted members. Bytes that are not UTF-8 become
+// replacement characters.
+std::string Dump(const nlohmann::json& value);
+
+}  // namespace jaypick
+
+#endif  // JAYPICK_CONFIGURATION_JSON_FORMS_H_
