--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -31,7 +31,7 @@
 jaypick_optional_library(jaypick_http FOLDERS http LINK
   jaypick_core PkgConfig::LIBEVENT nlohmann_json::nlohmann_json)
 jaypick_optional_library(jaypick_platform FOLDERS platform LINK
-  jaypick_http jaypick_configuration)
+  jaypick_http jaypick_configuration absl::strings)
 jaypick_optional_library(jaypick_daemon FOLDERS daemon LINK
   jaypick_platform jaypick_settings jaypick_easylogging prometheus-cpp::core
   absl::flags absl::flags_parse)
@@ -61,8 +61,8 @@
   list(REMOVE_ITEM code ${STANDIN_MAINS})
   add_library(jaypick_standins OBJECT ${code})
   target_include_directories(jaypick_standins PUBLIC ${CMAKE_SOURCE_DIR})
-  target_link_libraries(jaypick_standins PUBLIC jaypick_http absl::flags
-                        absl::flags_parse)
+  target_link_libraries(jaypick_standins PUBLIC jaypick_http absl::strings
+                        absl::flags absl::flags_parse)
   foreach(main IN LISTS STANDIN_MAINS)
     get_filename_component(name ${main} NAME_WE)
     string(REGEX REPLACE "_main$" "" name ${name})
--- /dev/null
+++ b/src/platform/key_claims.cc
@@ -0,0 +1,242 @@
+#include "platform/key_claims.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace jaypick::platform {
+namespace {
+
+constexpr std::string_view kClaimPrefix = "jaypick/claim/";
+
+// etcd's message for a lease that has expired or was never granted.
+constexpr std::string_view kLeaseNotFound = "lease not found";
+
+// Upper bound of the time to come back, also if the rate is 0.
+constexpr double kLongestWaitSeconds = 60;
+
+// Allows `rate` events per second and `burst` at once.
+class TokenBucket {
+ public:
+  TokenBucket(double rate, double burst)
+      : rate_(rate), burst_(burst), tokens_(burst) {}
+
+  void set_rate(double rate) { rate_ = rate; }
+
+  // Nothing if a token was taken, or the time until there is one.
+  std::optional<Duration> Take(TimePoint now) {
+    Refill(now);
+    if (tokens_ >= 1) {
+      tokens_ -= 1;
+      return std::nullopt;
+    }
+    const double seconds =
+        rate_ > 0 ? std::min((1 - tokens_) / rate_, kLongestWaitSeconds)
+                  : kLongestWaitSeconds;
+    return std::chrono::ceil<Duration>(std::chrono::duration<double>(seconds));
+  }
+
+ private:
+  void Refill(TimePoint now) {
+    if (last_ && now > *last_) {
+      const std::chrono::duration<double> elapsed = now - *last_;
+      tokens_ = std::min(burst_, tokens_ + rate_ * elapsed.count());
+    }
+    last_ = now;
+  }
+
+  double rate_;
+  double burst_;
+  double tokens_;
+  std::optional<TimePoint> last_;
+};
+
+}  // namespace
+
+std::string ClaimKeyName(std::string_view owner, const SubmissionKey& key) {
+  // The length keeps "a/b" + "c" apart from "a" + "b/c".
+  std::string name(kClaimPrefix);
+  name += std::to_string(owner.size());
+  name += '/';
+  name += owner;
+  name += '/';
+  name += key.value;
+  return name;
+}
+
+class KeyClaims::Impl : public std::enable_shared_from_this<KeyClaims::Impl> {
+ public:
+  Impl(KeyValueStore* store, KeyClaimOptions options)
+      : store_(store),
+        options_(options),
+        bucket_(options.claims_per_second, options.burst) {}
+
+  std::optional<Duration> Claim(TimePoint now,
+                                std::string name,
+                                JobId id,
+                                KeyClaimCallback callback) {
+    if (auto wait = bucket_.Take(now)) {
+      return wait;
+    }
+    ++pending_;
+    auto claim = std::make_shared<Pending>();
+    claim->started = now;
+    claim->name = std::move(name);
+    claim->id = std::move(id);
+    claim->callback = std::move(callback);
+    if (lease_ != 0 && now < lease_end_) {
+      Send(claim);
+    } else {
+      WaitForLease(claim);
+    }
+    return std::nullopt;
+  }
+
+  void SetRate(double rate) { bucket_.set_rate(rate); }
+  std::size_t pending() const { return pending_; }
+
+ private:
+  struct Pending {
+    TimePoint started;
+    std::string name;
+    JobId id;
+    KeyClaimCallback callback;
+    std::uint32_t attempts = 0;
+    std::int64_t lease = 0;
+    bool replaced_lease = false;
+  };
+  using Claimed = std::shared_ptr<Pending>;
+
+  void WaitForLease(const Claimed& claim) {
+    waiting_.push_back(claim);
+    if (waiting_.size() > 1) {
+      return;
+    }
+    const TimePoint asked = claim->started;
+    store_->GrantLease(options_.key_window + options_.lease_use,
+                       [weak = weak_from_this(), asked](auto result) {
+                         if (const auto self = weak.lock()) {
+                           self->OnLease(asked, result);
+                         }
+                       });
+  }
+
+  void OnLease(TimePoint asked, const StoreResult<LeaseResult>& result) {
+    const auto waiting = std::exchange(waiting_, {});
+    const auto* granted = std::get_if<LeaseResult>(&result);
+    if (granted == nullptr) {
+      for (const Claimed& claim : waiting) {
+        Settle(claim, KeyClaimFailed{});
+      }
+      return;
+    }
+    lease_ = granted->lease;
+    // The service may grant less than asked; the key window comes first.
+    lease_end_ = asked + granted->time_to_live - options_.key_window;
+    for (const Claimed& claim : waiting) {
+      Send(claim);
+    }
+  }
+
+  void Send(const Claimed& claim) {
+    ++claim->attempts;
+    claim->lease = lease_;
+    TxnRequest request{
+        .conditions = {CreateRevisionIs{.key = claim->name, .revision = 0}},
+        .success = {PutRequest{
+            .key = claim->name, .value = ToString(claim->id), .lease = lease_}},
+        .failure = {RangeRequest{.key = claim->name, .range_end = {}}}};
+    store_->Txn(std::move(request),
+                [weak = weak_from_this(), claim](auto result) {
+                  if (const auto self = weak.lock()) {
+                    self->OnTxn(claim, result);
+                  }
+                });
+  }
+
+  void OnTxn(const Claimed& claim, const StoreResult<TxnResult>& result) {
+    if (const auto* error = std::get_if<StoreError>(&result)) {
+      return OnError(claim, *error);
+    }
+    const auto& txn = std::get<TxnResult>(result);
+    if (txn.succeeded) {
+      return Settle(claim, KeyClaimed{});
+    }
+    Settle(claim, HolderOf(*claim, txn));
+  }
+
+  static KeyClaimResult HolderOf(const Pending& claim, const TxnResult& txn) {
+    const auto* range = txn.results.empty()
+                            ? nullptr
+                            : std::get_if<RangeResult>(&txn.results.front());
+    if (range == nullptr || range->values.size() != 1) {
+      return KeyClaimFailed{};
+    }
+    auto holder = ParseJobId(range->values.front().value);
+    if (!holder) {
+      return KeyClaimFailed{};
+    }
+    // An earlier transaction of this claim took effect; its answer was lost.
+    if (*holder == claim.id) {
+      return KeyClaimed{};
+    }
+    return KeyHeld{.holder = std::move(*holder)};
+  }
+
+  void OnError(const Claimed& claim, const StoreError& error) {
+    if (error.kind == StoreErrorKind::kOutcomeUnknown &&
+        claim->attempts < options_.attempts) {
+      return Send(claim);
+    }
+    const bool lease_gone =
+        error.kind == StoreErrorKind::kRejected &&
+        error.message.find(kLeaseNotFound) != std::string::npos;
+    if (!lease_gone || claim->replaced_lease) {
+      return Settle(claim, KeyClaimFailed{});
+    }
+    claim->replaced_lease = true;
+    // Another claim may have replaced the lease in the meantime.
+    if (claim->lease != lease_) {
+      return Send(claim);
+    }
+    WaitForLease(claim);
+  }
+
+  void Settle(const Claimed& claim, KeyClaimResult result) {
+    --pending_;
+    claim->callback(std::move(result));
+  }
+
+  KeyValueStore* store_;
+  KeyClaimOptions options_;
+  TokenBucket bucket_;
+  std::int64_t lease_ = 0;
+  // No claim takes the lease from here on.
+  TimePoint lease_end_;
+  std::vector<Claimed> waiting_;
+  std::size_t pending_ = 0;
+};
+
+KeyClaims::KeyClaims(KeyValueStore* store, KeyClaimOptions options)
+    : impl_(std::make_shared<Impl>(store, options)) {}
+
+KeyClaims::~KeyClaims() = default;
+
+std::optional<Duration> KeyClaims::Claim(TimePoint now,
+                                         std::string_view owner,
+                                         const SubmissionKey& key,
+                                         JobId id,
+                                         KeyClaimCallback callback) {
+  return impl_->Claim(now, ClaimKeyName(owner, key), std::move(id),
+                      std::move(callback));
+}
+
+void KeyClaims::SetRate(double claims_per_second) {
+  impl_->SetRate(claims_per_second);
+}
+
+std::size_t KeyClaims::pending() const {
+  return impl_->pending();
+}
+
+}  // namespace jaypick::platform
