Add stand-in programs for upstream, platform and network

Tests and the demo need outside systems that fail on demand. Each program has a control port of its own, so that faults, the record of starts and the counts stay readable while the service port is down, silent or out of connections.

The product's HTTP server always sends whole answers, so it cannot serve here: the stand-ins have a small server on bufferevents that can send half an answer, garbage, a reset or nothing.

--- /dev/null
+++ b/standins/relay.cc
@@ -0,0 +1,238 @@
+#include "standins/relay.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <chrono>
+#include <stdexcept>
+#include <utility>
+
+namespace jaypick::standin {
+namespace {
+
+constexpr int kBacklog = 512;
+
+// Names of faults by direction.
+constexpr const char* kDelay[] = {"delay_to_target_ms", "delay_to_client_ms"};
+constexpr const char* kSwallow[] = {"swallow_to_target", "swallow_to_client"};
+
+sockaddr_in Loopback(std::uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(port);
+  return address;
+}
+
+void SetNoDelay(int socket) {
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+void Free(bufferevent* events, bool reset) {
+  if (reset) {
+    const linger now{.l_onoff = 1, .l_linger = 0};
+    setsockopt(bufferevent_getfd(events), SOL_SOCKET, SO_LINGER, &now,
+               sizeof(now));
+  }
+  bufferevent_free(events);
+}
+
+}  // namespace
+
+// One end of a link: the one that sends in `direction`.
+struct Relay::Side {
+  Relay* relay = nullptr;
+  std::uint64_t link = 0;
+  Direction direction = kToTarget;
+  bufferevent* events = nullptr;
+};
+
+struct Relay::Link {
+  std::uint64_t id = 0;
+  Side sides[2];
+  bool silent = false;
+};
+
+Relay::Relay(event_base* base, RelayOptions options)
+    : base_(base),
+      target_port_(options.target_port),
+      control_(
+          base,
+          options.control_port,
+          ControlHandler([this](const std::string& path, const Json& body) {
+            return Control(path, body);
+          })) {
+  Listen(options.port);
+}
+
+Relay::~Relay() {
+  StopListening();
+  CloseAll();
+}
+
+void Relay::Listen(std::uint16_t port) {
+  const sockaddr_in address = Loopback(port);
+  const auto on_accept = [](evconnlistener*, evutil_socket_t socket, sockaddr*,
+                            int, void* self) {
+    static_cast<Relay*>(self)->Accept(socket);
+  };
+  listener_ = evconnlistener_new_bind(
+      base_, on_accept, this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE,
+      kBacklog, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  if (listener_ == nullptr) {
+    throw std::runtime_error("cannot listen on port " + std::to_string(port));
+  }
+  sockaddr_in bound{};
+  socklen_t size = sizeof(bound);
+  getsockname(evconnlistener_get_fd(listener_),
+              reinterpret_cast<sockaddr*>(&bound), &size);
+  port_ = ntohs(bound.sin_port);
+}
+
+void Relay::StopListening() {
+  if (listener_ != nullptr) {
+    evconnlistener_free(listener_);
+    listener_ = nullptr;
+  }
+}
+
+void Relay::Accept(int socket) {
+  auto link = std::make_unique<Link>();
+  link->id = next_id_++;
+  SetNoDelay(socket);
+  Attach(*link, kToTarget,
+         bufferevent_socket_new(base_, socket, BEV_OPT_CLOSE_ON_FREE));
+  bufferevent* const target =
+      bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE);
+  Attach(*link, kToClient, target);
+  const std::uint64_t id = link->id;
+  links_.emplace(id, std::move(link));
+  const sockaddr_in address = Loopback(target_port_);
+  if (bufferevent_socket_connect(target,
+                                 reinterpret_cast<const sockaddr*>(&address),
+                                 sizeof(address)) != 0) {
+    return Close(id, /*reset=*/true);
+  }
+  SetNoDelay(bufferevent_getfd(target));
+}
+
+void Relay::Attach(Link& link, Direction from, bufferevent* events) {
+  Side& side = link.sides[from];
+  side = {.relay = this, .link = link.id, .direction = from, .events = events};
+  const auto on_read = [](bufferevent*, void* self) {
+    const auto* const it = static_cast<Side*>(self);
+    it->relay->Forward(it->link, it->direction);
+  };
+  const auto on_event = [](bufferevent*, short what, void* self) {
+    const auto* const it = static_cast<Side*>(self);
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+      it->relay->Close(it->link, (what & BEV_EVENT_ERROR) != 0);
+    }
+  };
+  bufferevent_setcb(events, on_read, nullptr, on_event, &side);
+  bufferevent_enable(events, EV_READ | EV_WRITE);
+}
+
+void Relay::Forward(std::uint64_t id, Direction direction) {
+  const auto it = links_.find(id);
+  if (it == links_.end()) {
+    return;
+  }
+  evbuffer* const input =
+      bufferevent_get_input(it->second->sides[direction].events);
+  std::string bytes(evbuffer_get_length(input), '\0');
+  evbuffer_remove(input, bytes.data(), bytes.size());
+  const Path& path = paths_[direction];
+  if (path.delay == Duration{0}) {
+    return Deliver(id, direction, bytes);
+  }
+  RunAfter(base_, path.delay, [this, id, direction, bytes = std::move(bytes)] {
+    Deliver(id, direction, bytes);
+  });
+}
+
+void Relay::Deliver(std::uint64_t id,
+                    Direction direction,
+                    const std::string& bytes) {
+  const auto it = links_.find(id);
+  Path& path = paths_[direction];
+  if (it == links_.end() || it->second->silent || path.swallow) {
+    return;
+  }
+  path.bytes += bytes.size();
+  const Direction other = direction == kToTarget ? kToClient : kToTarget;
+  bufferevent_write(it->second->sides[other].events, bytes.data(),
+                    bytes.size());
+}
+
+void Relay::Close(std::uint64_t id, bool reset) {
+  const auto node = links_.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  Link& link = *node.mapped();
+  // Bytes that were read before the end of the stream still go out.
+  for (Side& side : link.sides) {
+    bufferevent_flush(side.events, EV_WRITE, BEV_FLUSH);
+    evbuffer* const output = bufferevent_get_output(side.events);
+    if (!reset && evbuffer_get_length(output) != 0) {
+      evbuffer_write(output, bufferevent_getfd(side.events));
+    }
+    Free(side.events, reset);
+  }
+}
+
+void Relay::CloseAll() {
+  while (!links_.empty()) {
+    Close(links_.begin()->first, /*reset=*/true);
+  }
+}
+
+void Relay::SetFaults(const Json& body) {
+  for (const Direction direction : {kToTarget, kToClient}) {
+    Path& path = paths_[direction];
+    const auto both = body.value("delay_ms", ToMilliseconds(path.delay));
+    path.delay = std::chrono::milliseconds(body.value(kDelay[direction], both));
+    path.swallow = body.value(kSwallow[direction], path.swallow);
+  }
+  if (body.value("silence_open", false)) {
+    for (const auto& [id, link] : links_) {
+      link->silent = true;
+    }
+  }
+  if (!body.contains("cut")) {
+    return;
+  }
+  if (body["cut"].get<bool>()) {
+    StopListening();
+    CloseAll();
+  } else if (listener_ == nullptr) {
+    Listen(port_);
+  }
+}
+
+std::optional<Json> Relay::Control(const std::string& path, const Json& body) {
+  if (path == "/fault") {
+    SetFaults(body);
+  } else if (path == "/reset_open") {
+    CloseAll();
+  } else if (path == "/target") {
+    target_port_ = body.at("port").get<std::uint16_t>();
+  } else if (path != "/stats") {
+    return std::nullopt;
+  }
+  return Json{{"accepted", next_id_ - 1},
+              {"open", links_.size()},
+              {"bytes_to_target", paths_[kToTarget].bytes},
+              {"bytes_to_client", paths_[kToClient].bytes}};
+}
+
+}  // namespace jaypick::standin
--- /dev/null
+++ b/standins/upstream_main.cc
@@ -0,0 +1,39 @@
+// Stand-in upstream as a process.
+#include <absl/flags/flag.h>
+
+#include <chrono>
+#include <cstdint>
+
+#include "standins/program.h"
+#include "standins/upstream_service.h"
+
+ABSL_FLAG(std::uint32_t, slots, 8, "tasks that run at once");
+ABSL_FLAG(std::uint32_t, backlog_limit, 64, "tasks that may wait for a slot");
+ABSL_FLAG(std::uint32_t, connection_limit, 60, "open connections; 0: no limit");
+ABSL_FLAG(double,
+          median_run_ms,
+          20,
+          "median run time of tasks whose payload names none");
+ABSL_FLAG(double, run_sigma, 0.5, "spread of the logarithm of run times");
+ABSL_FLAG(std::uint64_t, seed, 1, "seed of the run times");
+ABSL_FLAG(bool, report_load, true, "send the header Jaypick-Running");
+ABSL_FLAG(bool, record_starts, true, "keep each start for /starts");
+
+int main(int argc, char** argv) {
+  using Milliseconds = std::chrono::duration<double, std::milli>;
+  jaypick::standin::Program program(argc, argv);
+  const Milliseconds median(absl::GetFlag(FLAGS_median_run_ms));
+  const jaypick::standin::UpstreamService service(
+      program.base(),
+      {.port = program.port(),
+       .control_port = program.control_port(),
+       .slots = absl::GetFlag(FLAGS_slots),
+       .backlog_limit = absl::GetFlag(FLAGS_backlog_limit),
+       .connection_limit = absl::GetFlag(FLAGS_connection_limit),
+       .median_run_time = std::chrono::duration_cast<jaypick::Duration>(median),
+       .run_time_sigma = absl::GetFlag(FLAGS_run_sigma),
+       .seed = absl::GetFlag(FLAGS_seed),
+       .report_load = absl::GetFlag(FLAGS_report_load),
+       .record_starts = absl::GetFlag(FLAGS_record_starts)});
+  return program.Run("upstream", service.port(), service.control_port());
+}
