Divide slots among entries and age reports to their mean

Change: each entry owns a part of the slots, which all entries derive from the names in the instance list; reports age to the mean of all reports in five run times; a short queue waits for an own slot before it takes a shared one. A wake-up computed with the old formula under the new ageing repeated every microsecond; the wake-up now solves the same formula and is at least 1 ms away. The dispatcher hands over its name and the queue length.

--- a/include/jaypick/internal/placement_choice.h
+++ b/include/jaypick/internal/placement_choice.h
@@ -20,14 +20,28 @@
   std::uint32_t own = 0;
   // Expected tasks of the other entries.
   double others = 0;
+  // The part of the slots that this entry need not share.
+  std::uint32_t own_slots = 0;
+  // No report for so long that one task may find out.
+  bool is_stale = false;
 };
 
 // Tasks that this entry may have at an upstream beyond its slots.
 std::uint32_t Overcommit(const PlacementPolicy& policy);
 
+// Mean run times after which a report has lost most of its weight.
+double AgeingRunTimes(const PlacementPolicy& policy);
+
+// Expected tasks that an upstream may have, except in own slots, while
+// `waiting` tasks wait for a place.
+double ExpectedTasksLimit(const PlacementPolicy& policy,
+                          std::uint32_t slots,
+                          std::size_t waiting);
+
 // True if the policy lets `candidate` take one more task.
 bool HasRoom(const PlacementPolicy& policy,
-             const PlacementCandidate& candidate);
+             const PlacementCandidate& candidate,
+             std::size_t waiting);
 
 // Index of the chosen one of `candidates`, which is not empty.
 //
--- a/include/jaypick/internal/upstream_pool.h
+++ b/include/jaypick/internal/upstream_pool.h
@@ -43,6 +43,8 @@
   Needs needs;
   // Learned mean run time, the unit of expected waits.
   Duration run_time{0};
+  // Tasks that wait for a place, this one included.
+  std::size_t waiting = 1;
   // Whether the task may run twice. Ejected upstreams are probed by such tasks,
   // and by others only if the service has had none for a while.
   bool is_idempotent = false;
@@ -54,7 +56,11 @@
 // is listed with a greater generation.
 class UpstreamPool {
  public:
-  UpstreamPool(const PlacementOptions& options, std::uint64_t seed);
+  // `entry` is the name of this entry; it says which part of the slots is its
+  // own.
+  UpstreamPool(const PlacementOptions& options,
+               std::uint64_t seed,
+               std::string entry = "");
 
   // Takes over the upstreams of `failure_domain` in `list`. `entries` is the
   // number of live entries that share them; it bounds connections.
@@ -109,6 +115,10 @@
     // Learned mean run time of recent requests, the unit of ageing.
     Duration run_time{0};
     TimePoint last_idempotent;
+    // Mean of the reported tasks of other entries, per slot.
+    double others_per_slot = 0;
+    // Tasks that waited at the last choice.
+    std::size_t waiting = 1;
   };
 
   // A failed attempt that counts as in-flight until `until`.
@@ -129,6 +139,8 @@
   void Retire(UpstreamNumber number);
   void MarkLeaving(UpstreamNumber number);
   void RebuildMembers();
+  void AssignOwnSlots(const InstanceList& list,
+                      const std::string& failure_domain);
   void RemoveMember(UpstreamNumber number);
   void ReadmitExcess(ServiceState& service, TimePoint now);
   void FreeIfUnused(UpstreamNumber number);
@@ -138,8 +150,15 @@
   void ExpirePenalties(TimePoint now);
   void AddPenalty(UpstreamNumber number, TimePoint started, TimePoint now);
   double OthersNow(const UpstreamLoad& load,
-                   Duration run_time,
+                   const ServiceState& service,
                    TimePoint now) const;
+  double AgeingTime(const ServiceState& service) const;
+  bool IsStale(const UpstreamLoad& load,
+               const ServiceState& service,
+               TimePoint now) const;
+  void RecordReport(UpstreamNumber number,
+                    std::uint32_t reported,
+                    TimePoint now);
   void CollectCandidate(UpstreamNumber number,
                         const ServiceState& service,
                         TimePoint now);
@@ -164,6 +183,7 @@
   void StartSlowStart(UpstreamNumber number, TimePoint now);
 
   PlacementOptions options_;
+  std::string entry_;
   std::minstd_rand engine_;
   std::uint32_t entries_ = 1;
   // Three tables by upstream number: what each choice reads, and the rest.
--- a/include/jaypick/internal/upstream_state.h
+++ b/include/jaypick/internal/upstream_state.h
@@ -30,6 +30,8 @@
   // Attempts of this entry at most; lower during a slow start.
   std::uint32_t limit = 0;
   std::uint32_t slots = 0;
+  // The part of the slots that this entry need not share.
+  std::uint32_t own_slots = 0;
   HealthState state = HealthState::kHealthy;
   Needs offers;
 };
--- a/include/jaypick/placement.h
+++ b/include/jaypick/placement.h
@@ -28,6 +28,12 @@
 struct ReportedLoadPlacement {
   // Expected tasks at an upstream beyond its slots.
   std::uint32_t overcommit = 1;
+  // Tasks by which that limit is lower while a single task waits; each further
+  // waiting task lowers it by one. With a short queue, the next own slot is
+  // free sooner than a slot that another entry may have taken.
+  double spill_margin = 2;
+  // Mean run times after which a report has lost most of its weight.
+  double ageing_run_times = 5;
 };
 
 using PlacementPolicy = std::variant<RandomPlacement,
--- a/src/dispatch/core.cc
+++ b/src/dispatch/core.cc
@@ -16,7 +16,7 @@
       ids_(options_.id_window),
       jobs_({.answer_retention = options_.answer_retention,
              .answer_bytes_limit = options_.answer_bytes_limit}),
-      pool_(options_.placement, options_.seed),
+      pool_(options_.placement, options_.seed, options_.entry),
       budget_(options_.retry),
       retry_floor_(options_.retries_per_second_floor, 1),
       claim_bucket_(options_.key_claims_per_second,
--- a/src/dispatch/core_attempts.cc
+++ b/src/dispatch/core_attempts.cc
@@ -217,7 +217,9 @@
     if (std::ranges::find(blocked, kind) != blocked.end()) {
       return false;
     }
-    chosen = pool_.Choose(RequestFor(kind), now_);
+    internal::PlacementRequest request = RequestFor(kind);
+    request.waiting = queue.size();
+    chosen = pool_.Choose(request, now_);
     if (!chosen) {
       blocked.push_back(kind);
     }
--- a/src/placement/placement_choice.cc
+++ b/src/placement/placement_choice.cc
@@ -1,5 +1,7 @@
 #include "jaypick/internal/placement_choice.h"
 
+#include <algorithm>
+
 namespace jaypick::internal {
 namespace {
 
@@ -35,10 +37,19 @@
   return static_cast<double>(candidate.own) / candidate.slots;
 }
 
+// More than any load, so that own slots always go first.
+constexpr double kSharedSlotLoad = 1e6;
+
+bool HasOwnSlot(const PlacementCandidate& candidate) {
+  return candidate.own < candidate.own_slots;
+}
+
 // Up to 1 the task finds a free slot; the part above 1 is the expected wait in
-// mean run times.
+// mean run times. An own slot is free for certain unless another entry spilled
+// into it, so own slots go first.
 double ExpectedLoad(const PlacementCandidate& candidate) {
-  return (candidate.own + candidate.others + 1) / candidate.slots;
+  const double load = (candidate.own + candidate.others + 1) / candidate.slots;
+  return HasOwnSlot(candidate) ? load : load + kSharedSlotLoad;
 }
 
 struct Chooser {
@@ -78,14 +89,35 @@
   return reported == nullptr ? 0 : reported->overcommit;
 }
 
+double AgeingRunTimes(const PlacementPolicy& policy) {
+  const auto* reported = std::get_if<ReportedLoadPlacement>(&policy);
+  return reported == nullptr ? 1 : reported->ageing_run_times;
+}
+
+double ExpectedTasksLimit(const PlacementPolicy& policy,
+                          std::uint32_t slots,
+                          std::size_t waiting) {
+  const auto* reported = std::get_if<ReportedLoadPlacement>(&policy);
+  if (reported == nullptr) {
+    return slots;
+  }
+  const double margin =
+      reported->spill_margin - (static_cast<double>(waiting) - 1);
+  return slots + reported->overcommit - std::max(0.0, margin);
+}
+
 bool HasRoom(const PlacementPolicy& policy,
-             const PlacementCandidate& candidate) {
+             const PlacementCandidate& candidate,
+             std::size_t waiting) {
   const auto* reported = std::get_if<ReportedLoadPlacement>(&policy);
   if (reported == nullptr) {
     return true;
   }
+  if (HasOwnSlot(candidate) || candidate.is_stale) {
+    return true;
+  }
   return candidate.own + candidate.others + 1 <=
-         candidate.slots + reported->overcommit;
+         ExpectedTasksLimit(policy, candidate.slots, waiting);
 }
 
 std::size_t ChooseCandidate(const PlacementPolicy& policy,
--- a/src/placement/upstream_list.cc
+++ b/src/placement/upstream_list.cc
@@ -36,6 +36,7 @@
     Retire(number);
   }
   RebuildMembers();
+  AssignOwnSlots(list, failure_domain);
   for (ServiceState& service : services_) {
     ReadmitExcess(service, now);
   }
@@ -139,6 +140,37 @@
   }
 }
 
+// Slots are dealt to the entries in turn, in the order of names, so that all
+// entries agree without a message. Each entry can then fill its own slots
+// without knowing what the others do.
+void UpstreamPool::AssignOwnSlots(const InstanceList& list,
+                                  const std::string& failure_domain) {
+  std::set<std::string> names;
+  for (const Instance& instance : list.instances) {
+    if (instance.role == InstanceRole::kEntry &&
+        instance.failure_domain == failure_domain) {
+      names.insert(instance.name);
+    }
+  }
+  const auto own = names.find(entry_);
+  const bool is_listed = own != names.end();
+  const auto rank =
+      static_cast<std::uint32_t>(std::distance(names.begin(), own));
+  const std::uint32_t count =
+      is_listed ? static_cast<std::uint32_t>(names.size()) : entries_;
+  std::uint32_t first_slot = 0;
+  for (const auto& [name, number] : by_name_) {
+    UpstreamLoad& load = loads_[number];
+    load.own_slots = load.slots / count;
+    for (std::uint32_t slot = load.own_slots * count; slot < load.slots;
+         ++slot) {
+      const bool is_own = (first_slot + slot) % count == rank;
+      load.own_slots += is_listed && is_own ? 1 : 0;
+    }
+    first_slot += load.slots;
+  }
+}
+
 void UpstreamPool::RemoveMember(UpstreamNumber number) {
   ServiceState& service = services_[identities_[number].service];
   const std::size_t removed = std::erase(service.members, number);
@@ -168,11 +200,6 @@
                   options_.connections_per_upstream / entries_);
 }
 
-std::optional<ServiceNumber> UpstreamPool::FindService(
-    const std::string& service) const {
-  return service_names_.Find(service);
-}
-
 ServiceNumber UpstreamPool::InternService(const std::string& service) {
   const ServiceNumber number = service_names_.Intern(service);
   if (number >= services_.size()) {
--- a/src/placement/upstream_pool.cc
+++ b/src/placement/upstream_pool.cc
@@ -1,6 +1,8 @@
 #include "jaypick/internal/upstream_pool.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 #include "jaypick/internal/invariant.h"
 
@@ -10,14 +12,23 @@
 // Weight of a request in the mean run time by which reports age.
 constexpr int kRunTimeSamples = 64;
 
+// Weight of a report in the mean of all reports.
+constexpr int kReportSamples = 64;
+
+// Shortest wait for a report to age: a finer one would only cost wake-ups.
+constexpr Duration kAgeingStep = std::chrono::milliseconds(1);
+
 void KeepEarliest(std::optional<TimePoint>& earliest, TimePoint time) {
   earliest = earliest ? std::min(*earliest, time) : time;
 }
 
 }  // namespace
 
-UpstreamPool::UpstreamPool(const PlacementOptions& options, std::uint64_t seed)
+UpstreamPool::UpstreamPool(const PlacementOptions& options,
+                           std::uint64_t seed,
+                           std::string entry)
     : options_(options),
+      entry_(std::move(entry)),
       engine_(static_cast<std::minstd_rand::result_type>(seed)) {}
 
 std::optional<UpstreamNumber> UpstreamPool::Choose(
@@ -33,6 +44,7 @@
           ? request.run_time
           : service.run_time +
                 (request.run_time - service.run_time) / kRunTimeSamples;
+  service.waiting = request.waiting;
   const bool may_probe = MayProbe(request, service, now);
   candidates_.clear();
   for (const UpstreamNumber number : service.members) {
@@ -68,12 +80,13 @@
   if (own >= load.limit || load.slots == 0) {
     return;
   }
-  const PlacementCandidate candidate{
-      .upstream = number,
-      .slots = load.slots,
-      .own = own,
-      .others = OthersNow(load, service.run_time, now)};
-  if (HasRoom(options_.policy, candidate)) {
+  const PlacementCandidate candidate{.upstream = number,
+                                     .slots = load.slots,
+                                     .own = own,
+                                     .others = OthersNow(load, service, now),
+                                     .own_slots = load.own_slots,
+                                     .is_stale = IsStale(load, service, now)};
+  if (HasRoom(options_.policy, candidate, service.waiting)) {
     candidates_.push_back(candidate);
   }
 }
@@ -157,17 +170,44 @@
   }
 }
 
-// The reported tasks end within about a mean run time; new ones of other
-// entries show in the next report.
+void UpstreamPool::RecordReport(UpstreamNumber number,
+                                std::uint32_t reported,
+                                TimePoint now) {
+  UpstreamLoad& load = loads_[number];
+  const std::uint32_t others = reported - std::min(reported, load.in_flight);
+  load.others = static_cast<float>(others);
+  load.reported_at = now;
+  if (load.slots > 0) {
+    double& mean = services_[identities_[number].service].others_per_slot;
+    mean += (static_cast<double>(others) / load.slots - mean) / kReportSamples;
+  }
+}
+
+double UpstreamPool::AgeingTime(const ServiceState& service) const {
+  return static_cast<double>(service.run_time.count() + 1) *
+         AgeingRunTimes(options_.policy);
+}
+
+// The reported tasks end while the other entries start new ones, so a report
+// loses its weight to the mean of all reports. The weight is close to
+// exp(-age), which would take most of the time of a choice.
 double UpstreamPool::OthersNow(const UpstreamLoad& load,
-                               Duration run_time,
+                               const ServiceState& service,
                                TimePoint now) const {
-  const Duration age = now - load.reported_at;
-  if (load.others == 0 || age >= run_time) {
-    return 0;
+  const double mean = service.others_per_slot * load.slots;
+  if (load.reported_at == TimePoint()) {
+    return mean;
   }
-  return load.others * (1 - static_cast<double>(age.count()) /
-                                static_cast<double>(run_time.count()));
+  const double age = static_cast<double>((now - load.reported_at).count()) /
+                     AgeingTime(service);
+  return mean + (load.others - mean) / (1 + age + age * age / 2);
+}
+
+// Nothing is out that would bring a report, and the last one is old.
+bool UpstreamPool::IsStale(const UpstreamLoad& load,
+                           const ServiceState& service,
+                           TimePoint now) const {
+  return load.in_flight == 0 && now - load.reported_at >= service.run_time;
 }
 
 bool UpstreamPool::IsOffered(ServiceNumber service, const Needs& needs) const {
@@ -229,17 +269,26 @@
     const TimePoint next = health.slow_start_began + step + Duration(1);
     return next > now ? std::optional(next) : std::nullopt;
   }
-  const double room =
-      static_cast<double>(load.slots) + Overcommit(options_.policy) - own - 1.0;
-  const double others = OthersNow(load, service.run_time, now);
-  if (own >= load.limit || room < 0 || others <= room) {
+  if (own >= load.limit || IsStale(load, service, now)) {
     return std::nullopt;
   }
-  // `others` has fallen to `room` after this part of the run time.
-  const double part = 1 - room / static_cast<double>(load.others);
-  const Duration age(static_cast<std::int64_t>(
-      part * static_cast<double>(service.run_time.count())));
-  return std::max(load.reported_at + age, now) + Duration(1);
+  std::optional<TimePoint> next;
+  if (load.in_flight == 0) {
+    next = load.reported_at + service.run_time;
+  }
+  const double room =
+      ExpectedTasksLimit(options_.policy, load.slots, service.waiting) - own -
+      1.0;
+  const double mean = service.others_per_slot * load.slots;
+  if (load.others <= room || room <= mean) {
+    return next;
+  }
+  // Solves `OthersNow` for the time at which it falls to `room`.
+  const double weight = (room - mean) / (load.others - mean);
+  const double age = std::sqrt(2 / weight - 1) - 1;
+  const Duration falls(static_cast<std::int64_t>(age * AgeingTime(service)));
+  KeepEarliest(next, std::max(load.reported_at + falls, now) + kAgeingStep);
+  return next;
 }
 
 const std::string& UpstreamPool::name(UpstreamNumber upstream) const {
