Feed reports into the mean they age to; learn room from refusals

Second fault: upstreams that let no task wait refused 24,918 starts of jobs of 64, because the pool kept to slots plus overcommit. A refusal with a report now bounds the expected tasks, with two places left free for what other entries may have started.

--- a/bench/case_study.cc
+++ b/bench/case_study.cc
@@ -100,6 +100,12 @@
       TodaysScenario(seed, selected.load, job_tasks, options.seconds);
   selected.change(scenario);
   const std::vector<JobPlan> jobs = MakeWorkload(scenario.workload);
+  nlohmann::json best = {{"study", "cases"},          {"case", selected.name},
+                         {"variant", "oracle"},       {"seed", seed},
+                         {"load", selected.load},     {"job_tasks", job_tasks},
+                         {"seconds", options.seconds}};
+  best.update(Describe(scenario, jobs, RunOracleOf(scenario, jobs)));
+  PrintLine(best);
   const std::vector<std::string> variants =
       options.variants.empty() ? std::vector<std::string>{"default"}
                                : options.variants;
--- a/bench/scenario.cc
+++ b/bench/scenario.cc
@@ -27,6 +27,17 @@
   options.placement.policy = ReportedLoadPlacement{.overcommit = kOvercommit};
 }
 
+template <int kRunTimes>
+void UseAgeing(DispatcherOptions& options) {
+  options.placement.policy =
+      ReportedLoadPlacement{.ageing_run_times = kRunTimes};
+}
+
+template <int kMargin>
+void UseSpillMargin(DispatcherOptions& options) {
+  options.placement.policy = ReportedLoadPlacement{.spill_margin = kMargin};
+}
+
 double Rounded(double value) {
   return std::round(value * 10'000) / 10'000;
 }
@@ -40,6 +51,13 @@
       {.name = "overcommit_1", .apply = UseOvercommit<1>},
       {.name = "overcommit_2", .apply = UseOvercommit<2>},
       {.name = "overcommit_4", .apply = UseOvercommit<4>},
+      {.name = "ageing_1", .apply = UseAgeing<1>},
+      {.name = "ageing_2", .apply = UseAgeing<2>},
+      {.name = "ageing_5", .apply = UseAgeing<5>},
+      {.name = "ageing_20", .apply = UseAgeing<20>},
+      {.name = "spill_margin_0", .apply = UseSpillMargin<0>},
+      {.name = "spill_margin_2", .apply = UseSpillMargin<2>},
+      {.name = "spill_margin_4", .apply = UseSpillMargin<4>},
       {.name = "random", .apply = UseRandom},
       {.name = "round_robin", .apply = UseRoundRobin},
       {.name = "least_outstanding", .apply = UseLeastOutstanding},
--- a/include/jaypick/internal/placement_choice.h
+++ b/include/jaypick/internal/placement_choice.h
@@ -22,6 +22,8 @@
   double others = 0;
   // The part of the slots that this entry need not share.
   std::uint32_t own_slots = 0;
+  // Tasks at which the upstream refused a start as busy; 0 if it never did.
+  std::uint32_t refuses_at = 0;
   // No report for so long that one task may find out.
   bool is_stale = false;
 };
--- a/include/jaypick/internal/upstream_state.h
+++ b/include/jaypick/internal/upstream_state.h
@@ -32,6 +32,8 @@
   std::uint32_t slots = 0;
   // The part of the slots that this entry need not share.
   std::uint32_t own_slots = 0;
+  // Tasks at which the upstream refused a start as busy; 0 if it never did.
+  std::uint32_t refuses_at = 0;
   HealthState state = HealthState::kHealthy;
   Needs offers;
 };
--- a/src/placement/placement_choice.cc
+++ b/src/placement/placement_choice.cc
@@ -40,6 +40,10 @@
 // More than any load, so that own slots always go first.
 constexpr double kSharedSlotLoad = 1e6;
 
+// Places that stay free at an upstream that refuses starts: the tasks of other
+// entries are only estimated.
+constexpr double kRefusalMargin = 2;
+
 bool HasOwnSlot(const PlacementCandidate& candidate) {
   return candidate.own < candidate.own_slots;
 }
@@ -113,11 +117,18 @@
   if (reported == nullptr) {
     return true;
   }
-  if (HasOwnSlot(candidate) || candidate.is_stale) {
+  const double expected = candidate.own + candidate.others + 1;
+  if (candidate.is_stale) {
     return true;
   }
-  return candidate.own + candidate.others + 1 <=
-         ExpectedTasksLimit(policy, candidate.slots, waiting);
+  if (HasOwnSlot(candidate)) {
+    return candidate.refuses_at == 0 || expected <= candidate.refuses_at;
+  }
+  double limit = ExpectedTasksLimit(policy, candidate.slots, waiting);
+  if (candidate.refuses_at > 0) {
+    limit = std::min(limit, candidate.refuses_at - kRefusalMargin);
+  }
+  return expected <= limit;
 }
 
 std::size_t ChooseCandidate(const PlacementPolicy& policy,
--- a/src/placement/upstream_pool.cc
+++ b/src/placement/upstream_pool.cc
@@ -85,6 +85,7 @@
                                      .own = own,
                                      .others = OthersNow(load, service, now),
                                      .own_slots = load.own_slots,
+                                     .refuses_at = load.refuses_at,
                                      .is_stale = IsStale(load, service, now)};
   if (HasRoom(options_.policy, candidate, service.waiting)) {
     candidates_.push_back(candidate);
@@ -118,9 +119,7 @@
                  identities_[upstream].name);
   --load.in_flight;
   if (reported_load) {
-    load.others = static_cast<float>(*reported_load -
-                                     std::min(*reported_load, load.in_flight));
-    load.reported_at = now;
+    RecordReport(upstream, *reported_load, now);
   }
   const bool is_probe = load.state == HealthState::kEjected &&
                         health.is_probing && started >= health.probe_started;
@@ -137,6 +136,9 @@
       OnFailure(upstream, is_probe, now);
       break;
     case AttemptEnd::kBusy:
+      if (reported_load) {
+        load.refuses_at = std::max(1U, *reported_load);
+      }
       OnBusy(upstream, now);
       break;
     case AttemptEnd::kLeaving:
@@ -177,6 +179,10 @@
   const std::uint32_t others = reported - std::min(reported, load.in_flight);
   load.others = static_cast<float>(others);
   load.reported_at = now;
+  if (load.refuses_at > 0 && reported >= load.refuses_at) {
+    // It takes more than it once did.
+    load.refuses_at = reported + 1;
+  }
   if (load.slots > 0) {
     double& mean = services_[identities_[number].service].others_per_slot;
     mean += (static_cast<double>(others) / load.slots - mean) / kReportSamples;
