Leave served owners' use out of the share that admission counts on

The queue now keeps a fading sum of charges per owner, and the share leaves out the part of owners without a queue; it is never less than the configured weight. Ruled out: a lower wait_margin, because the error is a factor that depends on the other owners' load.

--- a/include/jaypick/internal/fair_queue.h
+++ b/include/jaypick/internal/fair_queue.h
@@ -69,7 +69,9 @@
   Duration Backlog(OwnerNumber owner, const Cost& cost) const;
 
   // Share of the service that `owner` would have if his tasks waited now: his
-  // weight over the weights of all owners with waiting tasks, himself included.
+  // weight over the weights of all owners with waiting tasks, himself included,
+  // of what is left by owners who are served without waiting. It is never less
+  // than his weight over all weights.
   double EffectiveShare(OwnerNumber owner) const;
 
  private:
@@ -88,6 +90,8 @@
     double weight = 1;
     // Virtual start time of the next task that is to be charged.
     double start = 0;
+    // Recent charges, in units that grow by `kGrowth` with each charge.
+    double used = 0;
     std::size_t size = 0;
     // Waiting tasks that were charged before.
     std::size_t charged = 0;
@@ -107,6 +111,10 @@
   // Adds to or takes from the counts before and after a change.
   void OnLinked(QueuedTask& task, Lane& lane, std::uint64_t sequence);
   void Unlink(QueuedTask& task, Owner& owner, Lane& lane);
+  void Charge(Owner& owner, double cost);
+  // Part of the recent charges that went to owners without waiting tasks other
+  // than `owner`.
+  double PartOfOthersWithoutQueue(OwnerNumber owner) const;
   void InsertActive(OwnerNumber number);
   void EraseActive(OwnerNumber number);
   // Lane of `owner` with the oldest head among those not known to be blocked.
@@ -120,7 +128,11 @@
   // Sorted by key; owners with equal keys take turns.
   std::vector<ActiveOwner> active_;
   double active_weight_ = 0;
+  double total_weight_ = 0;
   double virtual_time_ = 0;
+  double used_ = 0;
+  // Unit of `used`.
+  double unit_ = 1;
   std::size_t size_ = 0;
   // Value of `pop_` at which a kind was found not placeable, by kind.
   std::vector<std::uint64_t> blocked_at_;
--- a/src/queue/fair_queue.cc
+++ b/src/queue/fair_queue.cc
@@ -8,6 +8,10 @@
 namespace jaypick::internal {
 namespace {
 
+// Growth of the unit of charges: the last 500 or so make up most of the sum.
+constexpr double kGrowth = 1.002;
+constexpr double kLargestUnit = 1e100;
+
 // Tasks that wait for another placement go before tasks that wait for the
 // first.
 bool IsBefore(const QueuedTask& a, const QueuedTask& b) {
@@ -29,7 +33,10 @@
     : owners_(std::move(other.owners_)),
       active_(std::move(other.active_)),
       active_weight_(std::exchange(other.active_weight_, 0)),
+      total_weight_(other.total_weight_),
       virtual_time_(other.virtual_time_),
+      used_(other.used_),
+      unit_(other.unit_),
       size_(std::exchange(other.size_, 0)),
       blocked_at_(std::move(other.blocked_at_)),
       pop_(other.pop_) {
@@ -60,6 +67,10 @@
   for (const auto& [number, weight] : weights) {
     OwnerAt(number).weight = std::max(1U, weight);
   }
+  total_weight_ = 0;
+  for (const Owner& owner : owners_) {
+    total_weight_ += owner.weight;
+  }
   active_weight_ = 0;
   for (const ActiveOwner& active : active_) {
     active_weight_ += owners_[active.owner].weight;
@@ -134,7 +145,39 @@
   const Owner& own = owners_[owner];
   const double others =
       own.size > 0 ? active_weight_ - own.weight : active_weight_;
-  return own.weight / (others + own.weight);
+  const double share = own.weight / (others + own.weight);
+  if (size_ == 0 || total_weight_ == 0) {
+    return share;
+  }
+  return std::max(share * (1 - PartOfOthersWithoutQueue(owner)),
+                  own.weight / total_weight_);
+}
+
+double FairQueue::PartOfOthersWithoutQueue(OwnerNumber owner) const {
+  if (used_ == 0) {
+    return 0;
+  }
+  double used = owners_[owner].size > 0 ? 0 : owners_[owner].used;
+  for (const ActiveOwner& active : active_) {
+    used += owners_[active.owner].used;
+  }
+  return std::max(0.0, 1 - used / used_);
+}
+
+// A growing unit lets old charges fade without touching all owners each time.
+void FairQueue::Charge(Owner& owner, double cost) {
+  owner.start += cost / owner.weight;
+  owner.used += cost * unit_;
+  used_ += cost * unit_;
+  unit_ *= kGrowth;
+  if (unit_ < kLargestUnit) {
+    return;
+  }
+  for (Owner& each : owners_) {
+    each.used /= unit_;
+  }
+  used_ /= unit_;
+  unit_ = 1;
 }
 
 FairQueue::Owner& FairQueue::OwnerAt(OwnerNumber number) {
@@ -247,8 +290,7 @@
     EraseActive(number);
     if (!task.is_charged) {
       virtual_time_ = std::max(virtual_time_, owner.start);
-      owner.start +=
-          static_cast<double>(cost(lane->kind).count()) / owner.weight;
+      Charge(owner, static_cast<double>(cost(lane->kind).count()));
     }
     Unlink(task, owner, *lane);
     if (owner.size > 0) {
--- a/tests/fair_queue_test.cc
+++ b/tests/fair_queue_test.cc
@@ -90,6 +90,23 @@
   cr_assert(f.queue.Pop(Any, SameCost) == nullptr);
 }
 
+// Guards against admission that counts on capacity which an owner without a
+// queue uses.
+Test(fair_queue, effective_share_leaves_out_what_others_use) {
+  Fixture f;
+  f.queue.AssignWeights({{0, 50}, {1, 50}});
+  f.Push(1, 0, 400);
+  for (int i = 0; i < 400; ++i) {
+    if (i % 4 == 0) {
+      f.Push(0);
+    }
+    f.queue.Pop(Any, SameCost);
+  }
+  cr_assert(f.queue.queued(0) == 0 && f.queue.queued(1) == 100);
+  cr_assert(abs(f.queue.EffectiveShare(1) - 0.75) < 0.05);
+  cr_assert(f.queue.EffectiveShare(0) == 0.5);
+}
+
 // Guards against a kind without room holding back other kinds, and against
 // asking for a kind twice, which would reserve two slots.
 Test(fair_queue, blocked_kind_does_not_block_others) {
