--- /dev/null
+++ b/src/configuration/audit.cc
@@ -0,0 +1,174 @@
+#include "jaypick/audit.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <iterator>
+#include <optional>
+#include <utility>
+
+#include "configuration/json_forms.h"
+#include "configuration/json_reader.h"
+
+namespace jaypick {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kAuditPrefix[] = "jaypick/audit/";
+constexpr char kRefusedPrefix[] = "jaypick/audit-refused/";
+constexpr std::int64_t kMostRefusedRead = 1000;
+
+// The first key after all keys that start with `prefix`, which ends in "/".
+std::string EndOf(std::string prefix) {
+  ++prefix.back();
+  return prefix;
+}
+
+// Cuts `text` without leaving part of a UTF-8 sequence at its end.
+std::string Cut(const std::string& text) {
+  if (text.size() <= kAuditSummaryBytes) {
+    return text;
+  }
+  std::size_t end = kAuditSummaryBytes;
+  while (end > 0 && (static_cast<unsigned char>(text[end]) & 0xC0) == 0x80) {
+    --end;
+  }
+  return text.substr(0, end) + "...";
+}
+
+RangeRequest AllRefused() {
+  return {.key = kRefusedPrefix,
+          .range_end = EndOf(kRefusedPrefix),
+          .limit = kMostRefusedRead};
+}
+
+RangeRequest NewestAccepted(std::size_t limit) {
+  return {.key = kAuditPrefix,
+          .range_end = EndOf(kAuditPrefix),
+          .limit = static_cast<std::int64_t>(limit),
+          .descending = true};
+}
+
+std::vector<AuditEntry> DecodeAll(const RangeResult& range,
+                                  Findings& findings) {
+  std::vector<AuditEntry> entries;
+  for (const KeyValue& value : range.values) {
+    auto decoded = DecodeAuditEntry(value.value, value.key);
+    if (auto* entry = std::get_if<AuditEntry>(&decoded)) {
+      entries.push_back(std::move(*entry));
+    } else {
+      auto& faults = std::get<Findings>(decoded);
+      std::ranges::move(faults, std::back_inserter(findings));
+    }
+  }
+  return entries;
+}
+
+bool IsNewer(const AuditEntry& a, const AuditEntry& b) {
+  return a.created_unix_ms > b.created_unix_ms;
+}
+
+// `accepted` stays in its order, also if the clocks of the entries that
+// accepted the changes differ.
+AuditTrail MakeTrail(const RangeResult& accepted_range,
+                     const RangeResult& refused_range,
+                     std::size_t limit) {
+  AuditTrail trail;
+  auto accepted = DecodeAll(accepted_range, trail.findings);
+  auto refused = DecodeAll(refused_range, trail.findings);
+  std::ranges::sort(refused, IsNewer);
+  std::ranges::merge(accepted, refused, std::back_inserter(trail.entries),
+                     IsNewer);
+  trail.entries.resize(std::min(limit, trail.entries.size()));
+  return trail;
+}
+
+}  // namespace
+
+std::string EncodeAuditEntry(const AuditEntry& entry) {
+  return Dump({{"accepted", entry.is_accepted},
+               {"version", entry.version},
+               {"base_version", entry.base_version},
+               {"author", entry.author},
+               {"operation_id", entry.operation_id},
+               {"created_unix_ms", entry.created_unix_ms},
+               {"digest", entry.digest},
+               {"reason", entry.reason},
+               {"summary", Cut(entry.summary)}});
+}
+
+std::variant<AuditEntry, Findings> DecodeAuditEntry(std::string_view text,
+                                                    std::string_view source) {
+  Findings findings;
+  const auto value = ParseJson(text, source, findings);
+  if (!value) {
+    return findings;
+  }
+  ObjectReader reader(*value, "", source, findings);
+  AuditEntry entry{.is_accepted = reader.Boolean("accepted"),
+                   .version = reader.Number("version"),
+                   .base_version = reader.Number("base_version"),
+                   .author = reader.Text("author"),
+                   .operation_id = reader.Text("operation_id"),
+                   .created_unix_ms = reader.Integer("created_unix_ms"),
+                   .digest = reader.Text("digest"),
+                   .reason = reader.Text("reason"),
+                   .summary = reader.Text("summary")};
+  reader.Finish();
+  if (!findings.empty()) {
+    return findings;
+  }
+  return entry;
+}
+
+std::string AuditKey(std::uint64_t version) {
+  char digits[32];
+  std::snprintf(digits, sizeof(digits), "%012llu",
+                static_cast<unsigned long long>(version));
+  return std::string(kAuditPrefix) + digits;
+}
+
+std::string RefusedAuditKey(std::string_view operation_id) {
+  return std::string(kRefusedPrefix) + std::string(operation_id);
+}
+
+void RecordRefusedChange(KeyValueStore* store,
+                         AuditEntry entry,
+                         std::function<void(bool)> callback) {
+  store->GrantLease(kRefusedAuditLease, [store, entry = std::move(entry),
+                                         callback = std::move(callback)](
+                                            StoreResult<LeaseResult> result) {
+    const auto* const lease = std::get_if<LeaseResult>(&result);
+    if (lease == nullptr) {
+      callback(false);
+      return;
+    }
+    PutRequest put{.key = RefusedAuditKey(entry.operation_id),
+                   .value = EncodeAuditEntry(entry),
+                   .lease = lease->lease};
+    store->Txn({.conditions = {}, .success = {std::move(put)}, .failure = {}},
+               [callback](const StoreResult<TxnResult>& stored) {
+                 callback(std::holds_alternative<TxnResult>(stored));
+               });
+  });
+}
+
+void ListAudit(KeyValueStore* store,
+               std::size_t limit,
+               StoreCallback<AuditTrail> callback) {
+  store->Txn(
+      {.conditions = {},
+       .success = {NewestAccepted(limit), AllRefused()},
+       .failure = {}},
+      [limit, callback = std::move(callback)](StoreResult<TxnResult> result) {
+        if (auto* error = std::get_if<StoreError>(&result)) {
+          callback(std::move(*error));
+          return;
+        }
+        const auto& ranges = std::get<TxnResult>(result).results;
+        callback(MakeTrail(std::get<RangeResult>(ranges.at(0)),
+                           std::get<RangeResult>(ranges.at(1)), limit));
+      });
+}
+
+}  // namespace jaypick
