--- a/src/dispatch/core.h
+++ b/src/dispatch/core.h
@@ -14,6 +14,7 @@
 #include "jaypick/dispatcher.h"
 #include "jaypick/internal/fair_queue.h"
 #include "jaypick/internal/id_window.h"
+#include "jaypick/internal/invariant.h"
 #include "jaypick/internal/job.h"
 #include "jaypick/internal/job_table.h"
 #include "jaypick/internal/kind_catalogue.h"
@@ -165,6 +166,8 @@
   DispatcherOptions options_;
   DispatchObserver silent_observer_;
   DispatchObserver& observer_;
+  // Takes what the queue and the pool report to the observer.
+  internal::ViolationHandler violation_handler_;
   internal::IdWindow ids_;
   internal::JobTable jobs_;
   internal::KindCatalogue catalogue_;
