Add randomised run of the entries' decision code

Cause: no test ran several dispatchers under mixed faults. The run puts six real dispatchers (three failure domains, two entries each) on one paused clock with in-process upstreams, store, instance list, callers and links, and checks the promises against the upstreams' own record of starts. Ruled out: driving the daemon's plug-ins, because sockets and wall time would make a seed unrepeatable.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -94,12 +94,23 @@
   target_link_libraries(example_${name} PRIVATE jaypick_core)
 endforeach()
 
+# The randomised run: used by the tests and by a program of its own.
+file(GLOB SIMULATION_SOURCES CONFIGURE_DEPENDS tests/simulation/*.cc)
+list(FILTER SIMULATION_SOURCES EXCLUDE REGEX "/soak_main\\.cc$")
+add_library(jaypick_simulation OBJECT ${SIMULATION_SOURCES})
+target_include_directories(jaypick_simulation PUBLIC ${CMAKE_SOURCE_DIR})
+target_link_libraries(jaypick_simulation PUBLIC jaypick_core)
+add_executable(jaypick-soak tests/simulation/soak_main.cc)
+target_link_libraries(jaypick-soak PRIVATE jaypick_simulation jaypick_core
+                      absl::flags absl::flags_parse)
+
 # Tests: tests/<feature>_test.cc, all in one runner.
 file(GLOB TEST_SOURCES CONFIGURE_DEPENDS tests/*.cc)
 if(TEST_SOURCES)
   add_executable(jaypick_tests ${TEST_SOURCES})
   target_include_directories(jaypick_tests PRIVATE ${CMAKE_SOURCE_DIR})
   target_link_libraries(jaypick_tests PRIVATE PkgConfig::CRITERION ${JAYPICK_ALL}
+                        jaypick_simulation
                         $<TARGET_NAME_IF_EXISTS:jaypick_standins>
                         $<TARGET_NAME_IF_EXISTS:jaypick_bench_code>)
 endif()
--- /dev/null
+++ b/tests/simulation/callers.h
@@ -0,0 +1,53 @@
+// Callers of the randomised run: they submit, resubmit, ask and cancel.
+#ifndef JAYPICK_TESTS_SIMULATION_CALLERS_H_
+#define JAYPICK_TESTS_SIMULATION_CALLERS_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "tests/simulation/entry.h"
+
+namespace jaypick::simulation {
+
+class Callers {
+ public:
+  explicit Callers(World& world) : world_(world) {}
+
+  // Starts the load.
+  void Begin();
+  // Submits `jobs` at once.
+  void Burst(int jobs);
+  // Cancels half of the recent submissions.
+  void CancelHalf();
+
+ private:
+  static constexpr int kOwners = 2;
+
+  void Next();
+  void Launch();
+  JobRequest MakeRequest(int owner);
+  void Reserve(int owner, int domain);
+  // Sends `submission` to an entry and waits for the answer.
+  void Submit(std::uint64_t submission, Entry& entry, int domain);
+  // Sends it again if no answer has come.
+  void AwaitAnswer(std::uint64_t submission, int domain, int tries);
+  void AskLater(std::uint64_t submission, int domain);
+  void Cancel(std::uint64_t submission, int domain);
+  void Call(IncomingCall call, Entry& entry, int domain);
+  void OnAnswer(std::uint64_t submission, const CallAnswer& answer);
+  void KeepIds(const std::vector<JobId>& ids, const std::string& owner);
+  Duration BoundOf(const Submission& submission) const;
+  Entry& AnyEntry();
+  Entry& EntryOf(int domain);
+  Entry& IssuerOf(const Submission& submission, int domain);
+
+  World& world_;
+  std::array<std::vector<JobId>, kOwners> ids_;
+  std::uint64_t last_key_ = 0;
+};
+
+}  // namespace jaypick::simulation
+
+#endif  // JAYPICK_TESTS_SIMULATION_CALLERS_H_
--- /dev/null
+++ b/tests/simulation/entry.h
@@ -0,0 +1,139 @@
+// An entry instance of the randomised run: a process around a `Dispatcher`.
+#ifndef JAYPICK_TESTS_SIMULATION_ENTRY_H_
+#define JAYPICK_TESTS_SIMULATION_ENTRY_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "jaypick/dispatcher.h"
+#include "tests/simulation/world.h"
+
+namespace jaypick::simulation {
+
+using CallMessage = std::variant<ReserveIds, SubmitJob, QueryJob, CancelJob>;
+using Respond = std::function<void(const CallAnswer&)>;
+
+// A call as it reaches an entry.
+struct IncomingCall {
+  CallMessage message;
+  // Submission that it is about; 0 for a reservation.
+  std::uint64_t submission = 0;
+  // Time from arrival within which an answer is due.
+  Duration bound{0};
+  Respond respond;
+};
+
+// Performs actions, polls the platform, exchanges with peers, and can be
+// killed, paused and drained.
+class Entry {
+ public:
+  Entry(World& world, std::string name, int domain, std::uint16_t port);
+  ~Entry();
+  Entry(const Entry&) = delete;
+  Entry& operator=(const Entry&) = delete;
+
+  const std::string& name() const { return name_; }
+  int domain() const { return domain_; }
+  const Address& address() const { return address_; }
+  bool is_up() const { return dispatcher_ != nullptr; }
+  bool is_paused() const { return is_paused_; }
+  bool is_draining() const { return is_up() && dispatcher_->is_draining(); }
+  std::uint64_t life() const { return life_; }
+  const Dispatcher& dispatcher() const { return *dispatcher_; }
+  // Last times at which the platform could not be read.
+  TimePoint head_disturbed_at() const { return head_disturbed_at_; }
+  TimePoint list_disturbed_at() const { return list_disturbed_at_; }
+
+  // A new process starts at the entry's address.
+  void Start();
+  void Kill();
+  void Pause();
+  void Resume();
+  void Drain(Duration notice);
+
+  // Runs `callback` in the process `life`: now, or when it resumes, or never if
+  // it has ended.
+  void Post(std::uint64_t life, Scheduler::Callback callback);
+
+  // A call arrives. Returns its number for `Close`.
+  std::uint64_t Receive(IncomingCall call);
+  void Close(std::uint64_t call);
+  void Handle(Event event);
+
+  // An operator changes the configuration through this entry.
+  void ApplyChange();
+
+  // Fails the run if a call is overdue or, at the end of the run, anything is
+  // left.
+  void CheckCalls();
+  void CheckIdle();
+
+ private:
+  class Observer;
+
+  struct PendingCall {
+    std::uint64_t submission = 0;
+    TimePoint due;
+    Duration bound{0};
+    Respond respond;
+    bool is_forwarded = false;
+  };
+
+  void Perform(AnswerCall& action);
+  void Perform(StartAttempt& action);
+  void Perform(const AbandonAttempt& action);
+  void Perform(ForwardCall& action);
+  void Perform(const ClaimKey& action);
+  void Perform(const DrainFinished& action);
+  void Claim(const ClaimKey& action, int attempts);
+  void FailForward(std::uint64_t call, const JobId& id);
+  void Answer(std::uint64_t call, const CallAnswer& answer);
+  void ExitIfDrained();
+  void End();
+  void Every(Duration period, void (Entry::*poll)());
+  void PollHead();
+  void PollInstances();
+  void Exchange();
+  void OfferTo(Entry& peer);
+  void OnInstances(InstanceList list);
+  void CommitChange(std::int64_t revision, std::uint64_t head_version);
+  void ConfirmChange(const Configuration& change);
+  void OnChangeApplied(const Configuration& change);
+  void ScheduleWake();
+  void Wake();
+
+  World& world_;
+  std::string name_;
+  int domain_;
+  Address address_;
+  std::unique_ptr<Observer> observer_;
+  std::unique_ptr<Dispatcher> dispatcher_;
+  // Grows with each process at this address.
+  std::uint64_t life_ = 0;
+  bool is_paused_ = false;
+  TimePoint paused_since_;
+  TimePoint last_resumed_;
+  std::vector<Scheduler::Callback> inbox_;
+  std::map<std::uint64_t, PendingCall> calls_;
+  std::uint64_t last_call_ = 0;
+  std::uint64_t forwards_ = 0;
+  bool has_drained_ = false;
+  std::optional<TimePoint> wake_at_;
+  TimePoint wake_count_since_;
+  int wake_count_ = 0;
+  TimePoint head_disturbed_at_;
+  TimePoint list_disturbed_at_;
+  std::uint64_t list_revision_ = 0;
+  // Generations of upstreams that this process was shown as leaving.
+  std::map<std::string, std::uint64_t> seen_leaving_;
+};
+
+}  // namespace jaypick::simulation
+
+#endif  // JAYPICK_TESTS_SIMULATION_ENTRY_H_
--- /dev/null
+++ b/tests/simulation/scheduler.h
@@ -0,0 +1,97 @@
+// Virtual time and seeded chance of the randomised run.
+#ifndef JAYPICK_TESTS_SIMULATION_SCHEDULER_H_
+#define JAYPICK_TESTS_SIMULATION_SCHEDULER_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "jaypick/time.h"
+
+namespace jaypick::simulation {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Runs tasks in the order of their virtual time; ties in the order of entry.
+class Scheduler {
+ public:
+  using Callback = std::function<void()>;
+
+  TimePoint now() const { return now_; }
+  // Number of tasks run so far.
+  std::uint64_t step() const { return step_; }
+
+  void After(Duration delay, Callback callback) {
+    heap_.push_back({now_ + delay, next_order_++, std::move(callback)});
+    std::push_heap(heap_.begin(), heap_.end(), std::greater<>());
+  }
+
+  // Advances to the next task and runs it. Returns false if there is none.
+  bool RunNext() {
+    if (heap_.empty()) {
+      return false;
+    }
+    std::pop_heap(heap_.begin(), heap_.end(), std::greater<>());
+    const Entry entry = std::move(heap_.back());
+    heap_.pop_back();
+    now_ = entry.when;
+    ++step_;
+    entry.callback();
+    return true;
+  }
+
+ private:
+  struct Entry {
+    TimePoint when;
+    std::uint64_t order = 0;
+    Callback callback;
+
+    friend bool operator>(const Entry& left, const Entry& right) {
+      return std::pair(left.when, left.order) >
+             std::pair(right.when, right.order);
+    }
+  };
+
+  std::vector<Entry> heap_;
+  TimePoint now_{seconds(1000)};
+  std::uint64_t step_ = 0;
+  std::uint64_t next_order_ = 0;
+};
+
+// All choices of a run come from one engine, so that the seed repeats it.
+class Random {
+ public:
+  explicit Random(std::uint64_t seed) : engine_(seed) {}
+
+  std::uint64_t Next() { return engine_(); }
+
+  bool Chance(double probability) {
+    return static_cast<double>(engine_() >> 11U) * 0x1.0p-53 < probability;
+  }
+
+  // A number from `low` to `high`, both included.
+  std::int64_t Between(std::int64_t low, std::int64_t high) {
+    const auto range = static_cast<std::uint64_t>(high - low) + 1;
+    return low + static_cast<std::int64_t>(engine_() % range);
+  }
+
+  Duration Span(Duration low, Duration high) {
+    return Duration(Between(low.count(), high.count()));
+  }
+
+  template <typename Container>
+  auto& Pick(Container& container) {
+    return container[engine_() % std::size(container)];
+  }
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+}  // namespace jaypick::simulation
+
+#endif  // JAYPICK_TESTS_SIMULATION_SCHEDULER_H_
--- /dev/null
+++ b/tests/simulation/witness.cc
@@ -0,0 +1,207 @@
+#include "tests/simulation/witness.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace jaypick::simulation {
+namespace {
+
+// Events kept for the trace, and printed with a violation.
+constexpr std::size_t kKeptEvents = 20'000;
+constexpr std::size_t kPrintedEvents = 40;
+// Attempts of one task that may have run, as `RetryOptions` limits them.
+constexpr std::uint32_t kMaxStarts = 4;
+
+constexpr std::string_view kPayloadStart = "{\"submission\":";
+
+}  // namespace
+
+std::string ResultOf(std::string_view payload) {
+  return std::to_string(std::hash<std::string_view>()(payload));
+}
+
+Submission& Witness::Add(JobRequest request,
+                         bool is_idempotent,
+                         std::size_t tasks) {
+  Submission& added = submissions_.emplace_back();
+  added.number = submissions_.size();
+  added.request = std::move(request);
+  added.is_idempotent = is_idempotent;
+  added.starts.resize(tasks);
+  added.next_attempt.resize(tasks);
+  for (std::size_t task = 0; task < tasks; ++task) {
+    added.request.tasks.push_back(std::string(kPayloadStart) +
+                                  std::to_string(added.number) +
+                                  ",\"task\":" + std::to_string(task) + "}");
+  }
+  return added;
+}
+
+std::uint64_t Witness::NumberOf(std::string_view payload) {
+  std::uint64_t number = 0;
+  if (payload.starts_with(kPayloadStart)) {
+    payload.remove_prefix(kPayloadStart.size());
+    std::from_chars(payload.data(), payload.data() + payload.size(), number);
+  }
+  return number;
+}
+
+void Witness::OnStartSent(std::string_view entry, const StartAttempt& start) {
+  Submission& sent = submission(NumberOf(start.payload));
+  Trace(sent.number, entry, "start sent", start.attempt.attempt);
+  if (start.remaining <= Duration(0)) {
+    Fail(sent.number, "a task is started past its deadline");
+  }
+  const TimePoint deadline = scheduler_.now() + start.remaining;
+  if (sent.deadline.value_or(deadline) != deadline) {
+    Fail(sent.number, "the deadline of a job moved");
+  }
+  sent.deadline = deadline;
+  if (sent.runs_as.value_or(start.attempt.job) != start.attempt.job) {
+    Fail(sent.number, "a submission runs under two ids");
+  }
+  sent.runs_as = start.attempt.job;
+  if (sent.was_not_run) {
+    Fail(sent.number, "a start was sent after the answer not_run");
+  }
+  if (sent.was_failed) {
+    Fail(sent.number, "a start was sent after the answer failed");
+  }
+}
+
+void Witness::OnTaskStarted(std::string_view upstream,
+                            const StartAttempt& start) {
+  Submission& started = submission(NumberOf(start.payload));
+  Trace(started.number, upstream, "task started", start.attempt.task);
+  ++tasks_started_;
+  started.has_started = true;
+  const std::uint32_t task = start.attempt.task;
+  const std::uint32_t starts = ++started.starts[task];
+  if (starts > 1 && !started.is_idempotent) {
+    Fail(started.number, "a task of a non-idempotent kind started twice");
+  }
+  // Each further start is another attempt of the one job under the one id.
+  if (start.attempt.attempt < started.next_attempt[task]) {
+    Fail(started.number, "an attempt started twice");
+  }
+  started.next_attempt[task] = start.attempt.attempt + 1;
+  if (starts > kMaxStarts) {
+    Fail(started.number, "a task started more often than attempts are allowed");
+  }
+  if (started.was_not_run) {
+    Fail(started.number, "a task started after the answer not_run");
+  }
+  if (start.payload != started.request.tasks[task] ||
+      start.kind != started.request.kind) {
+    Fail(started.number, "a task started with another payload or kind");
+  }
+}
+
+void Witness::OnAnswer(std::string_view entry,
+                       std::uint64_t number,
+                       const CallAnswer& answer) {
+  Submission& answered = submission(number);
+  if (const auto* complete = std::get_if<CompleteAnswer>(&answer)) {
+    Trace(number, entry, "answered complete");
+    CheckComplete(answered, *complete);
+  } else if (const auto* refusal = std::get_if<Refusal>(&answer)) {
+    Trace(number, entry, ToString(refusal->reason).data(),
+          static_cast<std::int64_t>(refusal->run));
+    CheckRefusal(answered, *refusal);
+  } else if (std::holds_alternative<RunningAnswer>(answer)) {
+    Trace(number, entry, "answered running");
+  } else {
+    Fail(number, "a submission was answered with reserved ids");
+  }
+}
+
+void Witness::CheckComplete(Submission& submission,
+                            const CompleteAnswer& answer) {
+  ++completed_;
+  const std::vector<std::string>& tasks = submission.request.tasks;
+  if (answer.results.size() != tasks.size()) {
+    Fail(submission.number, "an answer has another number of results");
+    return;
+  }
+  for (std::size_t task = 0; task < tasks.size(); ++task) {
+    if (answer.results[task] != ResultOf(tasks[task])) {
+      Fail(submission.number, "an answer has a wrong result");
+    }
+    if (submission.starts[task] == 0) {
+      Fail(submission.number, "an answer has the result of no start");
+    }
+  }
+  if (submission.completed_as.value_or(answer.id) != answer.id) {
+    Fail(submission.number, "a submission completed under two ids");
+  }
+  submission.completed_as = answer.id;
+  if (submission.was_not_run || submission.was_failed) {
+    Fail(submission.number, "complete after the answer not_run or failed");
+  }
+}
+
+void Witness::CheckRefusal(Submission& submission, const Refusal& refusal) {
+  ++refused_;
+  if (refusal.run == RunState::kNotRun) {
+    submission.was_not_run = true;
+    if (submission.has_started) {
+      Fail(submission.number, "the answer not_run after a start");
+    }
+  }
+  if (refusal.run == RunState::kFailed) {
+    submission.was_failed = true;
+  }
+  const bool is_final = refusal.run != RunState::kUnknown;
+  if (is_final && submission.completed_as) {
+    Fail(submission.number, "not_run or failed after a complete answer");
+  }
+}
+
+void Witness::Trace(std::uint64_t submission,
+                    std::string_view where,
+                    const char* what,
+                    std::int64_t detail) {
+  if (events_.size() >= kKeptEvents) {
+    events_.pop_front();
+  }
+  events_.push_back({.when = scheduler_.now(),
+                     .step = scheduler_.step(),
+                     .submission = submission,
+                     .where = std::string(where),
+                     .what = what,
+                     .detail = detail});
+}
+
+void Witness::Fail(std::uint64_t submission, std::string what) {
+  if (!violation_.empty()) {
+    return;
+  }
+  violation_ = "step " + std::to_string(scheduler_.step()) + ", submission " +
+               std::to_string(submission) + ": " + std::move(what);
+  std::vector<const Event*> printed;
+  for (auto it = events_.rbegin();
+       it != events_.rend() && printed.size() < kPrintedEvents; ++it) {
+    if (it->submission == submission || it->submission == 0) {
+      printed.push_back(&*it);
+    }
+  }
+  std::ranges::reverse(printed);
+  for (const Event* event : printed) {
+    violation_ += "\n  step " + std::to_string(event->step) + " at " +
+                  std::to_string(event->when.time_since_epoch().count()) +
+                  " us, " + event->where + ": " + event->what + " (" +
+                  std::to_string(event->detail) + ")";
+  }
+}
+
+void Witness::Fail(const JobId& id, std::string what) {
+  const auto it =
+      std::ranges::find_if(submissions_, [&](const Submission& candidate) {
+        return candidate.runs_as == id ||
+               candidate.request.identity == SubmissionIdentity(id);
+      });
+  Fail(it == submissions_.end() ? 0 : it->number, std::move(what));
+}
+
+}  // namespace jaypick::simulation
--- /dev/null
+++ b/tests/simulation/witness.h
@@ -0,0 +1,111 @@
+// What really happened in a run, and the promises checked against it.
+#ifndef JAYPICK_TESTS_SIMULATION_WITNESS_H_
+#define JAYPICK_TESTS_SIMULATION_WITNESS_H_
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "jaypick/job.h"
+#include "jaypick/messages.h"
+#include "tests/simulation/scheduler.h"
+
+namespace jaypick::simulation {
+
+// One submission of a caller, however often it is sent. A caller that tries
+// again under another id or key makes another submission.
+struct Submission {
+  std::uint64_t number = 0;
+  // Identity, owner, service, kind, timeout and tasks, as sent each time.
+  JobRequest request;
+  bool is_idempotent = false;
+
+  // Starts at upstreams by task, and the smallest attempt that may follow.
+  std::vector<std::uint32_t> starts;
+  std::vector<std::uint32_t> next_attempt;
+  bool has_started = false;
+  // Id and deadline under which its tasks are started.
+  std::optional<JobId> runs_as;
+  std::optional<TimePoint> deadline;
+  // Outcomes that callers were told.
+  std::optional<JobId> completed_as;
+  bool was_not_run = false;
+  bool was_failed = false;
+  bool has_answer = false;
+};
+
+// The right result of a task.
+std::string ResultOf(std::string_view payload);
+
+// Records starts and answers and stops the run at the first violation.
+class Witness {
+ public:
+  explicit Witness(const Scheduler& scheduler) : scheduler_(scheduler) {}
+
+  // Adds a submission with `tasks` distinct payloads.
+  Submission& Add(JobRequest request, bool is_idempotent, std::size_t tasks);
+
+  Submission& submission(std::uint64_t number) {
+    return submissions_[number - 1];
+  }
+  std::size_t submissions() const { return submissions_.size(); }
+
+  // The submission whose task `payload` is; 0 if it is none.
+  static std::uint64_t NumberOf(std::string_view payload);
+
+  // An entry sends a start.
+  void OnStartSent(std::string_view entry, const StartAttempt& start);
+
+  // An upstream starts a task.
+  void OnTaskStarted(std::string_view upstream, const StartAttempt& start);
+
+  // An entry answers a call about a submission.
+  void OnAnswer(std::string_view entry,
+                std::uint64_t number,
+                const CallAnswer& answer);
+
+  // Notes an event that concerns a submission (0: the whole run).
+  void Trace(std::uint64_t submission,
+             std::string_view where,
+             const char* what,
+             std::int64_t detail = 0);
+
+  // Records the first violation; later ones are ignored.
+  void Fail(std::uint64_t submission, std::string what);
+  void Fail(const JobId& id, std::string what);
+
+  // The violation with step and trace, or empty.
+  const std::string& violation() const { return violation_; }
+
+  std::uint64_t tasks_started() const { return tasks_started_; }
+  std::uint64_t completed() const { return completed_; }
+  std::uint64_t refused() const { return refused_; }
+
+ private:
+  struct Event {
+    TimePoint when;
+    std::uint64_t step = 0;
+    std::uint64_t submission = 0;
+    std::string where;
+    const char* what = "";
+    std::int64_t detail = 0;
+  };
+
+  void CheckComplete(Submission& submission, const CompleteAnswer& answer);
+  void CheckRefusal(Submission& submission, const Refusal& refusal);
+
+  const Scheduler& scheduler_;
+  std::deque<Submission> submissions_;
+  std::deque<Event> events_;
+  std::string violation_;
+  std::uint64_t tasks_started_ = 0;
+  std::uint64_t completed_ = 0;
+  std::uint64_t refused_ = 0;
+};
+
+}  // namespace jaypick::simulation
+
+#endif  // JAYPICK_TESTS_SIMULATION_WITNESS_H_
--- /dev/null
+++ b/tests/simulation/world.h
@@ -0,0 +1,125 @@
+// Entries, upstreams, callers, platform and the links between them.
+#ifndef JAYPICK_TESTS_SIMULATION_WORLD_H_
+#define JAYPICK_TESTS_SIMULATION_WORLD_H_
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jaypick/jaypick.h"
+#include "tests/simulation/run.h"
+#include "tests/simulation/scheduler.h"
+#include "tests/simulation/upstream.h"
+#include "tests/simulation/witness.h"
+
+namespace jaypick::simulation {
+
+class Callers;
+class Entry;
+class Faults;
+
+inline constexpr int kDomains = 3;
+inline constexpr int kEntriesPerDomain = 2;
+inline constexpr int kUpstreamsPerDomain = 3;
+// The platform's place among the failure domains.
+inline constexpr int kPlatform = kDomains;
+
+// The platform's key-value service, as far as jaypick uses it.
+struct Store {
+  std::optional<Configuration> head;
+  std::optional<Configuration> older_head;
+  std::int64_t head_revision = 0;
+  std::map<std::string, JobId> claims;
+  bool is_down = false;
+  Duration slowness{0};
+  double answer_loss = 0;
+  // Last time at which the service did not work as it should.
+  TimePoint disturbed_at;
+};
+
+// The platform's instance list with its history.
+struct InstanceRegistry {
+  struct Snapshot {
+    TimePoint since;
+    InstanceList list;
+  };
+
+  std::deque<Snapshot> history;
+  bool is_down = false;
+  Duration lag{0};
+  TimePoint disturbed_at;
+};
+
+// An upstream with what the instance list says about it.
+struct ListedUpstream {
+  std::unique_ptr<Upstream> upstream;
+  int domain = 0;
+  std::uint64_t generation = 1;
+  bool is_listed = true;
+  std::optional<TimePoint> leaving_since;
+};
+
+class World {
+ public:
+  explicit World(const RunOptions& options);
+  ~World();
+  World(const World&) = delete;
+  World& operator=(const World&) = delete;
+
+  // Delivers after a delay, unless the link is cut or the message is lost.
+  void Send(int from, int to, Scheduler::Callback deliver);
+  bool IsCut(int from, int to) const;
+
+  // Calls the key-value service from `entry`. `callback` runs once, with
+  // nothing if no answer came in time.
+  template <typename Result>
+  void CallStore(Entry& entry,
+                 std::function<Result(Store&)> operation,
+                 std::function<void(std::optional<Result>)> callback);
+
+  // Publishes the current state of all instances as a new revision.
+  void PublishInstances();
+  // What the platform's list answers now.
+  const InstanceList& ServedInstances() const;
+
+  // A start of `entry` reaches its upstream.
+  void ReceiveStart(Entry& entry, std::uint64_t life, StartAttempt start);
+
+  // A configuration was written to the head.
+  void OnAccepted(const Configuration& configuration);
+  Configuration MakeConfiguration(std::uint64_t version);
+
+  Entry& EntryAt(std::uint16_t port);
+
+  RunOptions options;
+  Scheduler scheduler;
+  Random random;
+  Witness witness;
+  Store store;
+  InstanceRegistry registry;
+  std::vector<std::unique_ptr<Entry>> entries;
+  std::vector<ListedUpstream> upstreams;
+  std::unique_ptr<Callers> callers;
+  std::unique_ptr<Faults> faults;
+  std::array<std::array<bool, kDomains + 1>, kDomains + 1> cut{};
+  // Part of all messages that vanish, as on connections that went silent.
+  double message_loss = 0;
+  bool is_draining_run = false;
+  std::uint64_t entry_faults = 0;
+  std::uint64_t configurations = 0;
+
+ private:
+  void CheckInForce(const Configuration& accepted, TimePoint since);
+};
+
+std::string DomainName(int domain);
+
+}  // namespace jaypick::simulation
+
+#endif  // JAYPICK_TESTS_SIMULATION_WORLD_H_
