--- a/include/jaypick/messages.h
+++ b/include/jaypick/messages.h
@@ -198,7 +198,8 @@
   JobId id;
 };
 
-// All jobs have ended and were answered after a drain request.
+// All jobs have ended and were answered after a drain request. Calls that were
+// handed to other entries may still wait for their answers.
 struct DrainFinished {};
 
 using Action = std::variant<AnswerCall,
--- a/src/dispatch/core.cc
+++ b/src/dispatch/core.cc
@@ -57,8 +57,9 @@
   if (queued_tasks() > 0) {
     consider(pool_.NextChange(now_));
   }
-  if (drain_ && !drain_->is_finished) {
-    consider(std::max(drain_->refuse_from, now_ + Duration(1)));
+  // Once the notice is over, the drain ends with a job, not with time.
+  if (drain_ && drain_->refuse_from > now_) {
+    consider(drain_->refuse_from);
   }
   return earliest;
 }
--- a/src/dispatch/core.h
+++ b/src/dispatch/core.h
@@ -96,6 +96,7 @@
                       const JobId& id,
                       bool forwarded,
                       std::variant<SubmitJob, QueryJob, CancelJob> message);
+  void RefuseUnreachable(CallId call, const JobId& id);
   void AnswerFromRecord(CallId call,
                         std::uint64_t counter,
                         const internal::IdRecord& record);
@@ -136,6 +137,8 @@
   void EndAttempt(Task& task,
                   const AttemptOutcome& outcome,
                   std::optional<std::uint32_t> reported_load);
+  internal::AttemptEnd EndAtPool(const Task& task,
+                                 const AttemptOutcome& outcome) const;
   void OnOutcome(Task& task, const attempt::Succeeded& outcome);
   void OnOutcome(Task& task, const attempt::Failed& outcome);
   void OnOutcome(Task& task, const attempt::Refused& outcome);
--- a/src/dispatch/core_attempts.cc
+++ b/src/dispatch/core_attempts.cc
@@ -106,8 +106,8 @@
   Job& job = *task.job;
   observer_.OnAttemptEnded(job.owner_name, catalogue_.entry(job.kind).kind.name,
                            pool_.name(task.upstream), outcome);
-  pool_.OnAttemptEnded(task.upstream, std::visit(EndOf(), outcome),
-                       reported_load, task.started, now_);
+  pool_.OnAttemptEnded(task.upstream, EndAtPool(task, outcome), reported_load,
+                       task.started, now_);
   --job.running;
   --running_;
   if (!MayHaveRun(outcome)) {
@@ -120,6 +120,19 @@
   std::visit([&](const auto& value) { OnOutcome(task, value); }, outcome);
 }
 
+// An attempt that is given up with its job, before most tasks of its kind have
+// ended, says nothing about the upstream.
+internal::AttemptEnd Dispatcher::Core::EndAtPool(
+    const Task& task,
+    const AttemptOutcome& outcome) const {
+  const Job& job = *task.job;
+  const bool is_early =
+      now_ - task.started < catalogue_.entry(job.kind).run_time.p99();
+  const bool is_given_up = job.has_ended && is_early &&
+                           std::holds_alternative<attempt::Lost>(outcome);
+  return is_given_up ? AttemptEnd::kAbandoned : std::visit(EndOf(), outcome);
+}
+
 void Dispatcher::Core::OnOutcome(Task& task,
                                  const attempt::Succeeded& outcome) {
   Job& job = *task.job;
@@ -247,8 +260,9 @@
   ++job.running;
   ++job.starts;
   ++running_;
+  // After the deadline nobody waits for the attempt, so its slot is given back.
   timers_.Add(
-      now_ + AttemptTimeoutOf(job.kind),
+      std::min(now_ + AttemptTimeoutOf(job.kind), job.deadline),
       internal::AttemptTimeout{
           .counter = job.counter, .task = task.index, .attempt = id.attempt});
   const Kind& kind = catalogue_.entry(job.kind).kind;
--- a/src/dispatch/core_calls.cc
+++ b/src/dispatch/core_calls.cc
@@ -37,8 +37,7 @@
     Refuse(message.call, std::move(refusal));
     return;
   }
-  const std::uint32_t count = std::min(message.count, options_.reserve_limit);
-  auto ids = IssueIds(catalogue_.InternOwner(message.owner), count);
+  auto ids = IssueIds(catalogue_.InternOwner(message.owner), message.count);
   if (ids.empty()) {
     Refuse(message.call,
            MakeRefusal(RunState::kNotRun, Reason::kOverloaded,
@@ -86,17 +85,21 @@
     RouteElsewhere(message.call, message.id, message.forwarded, message);
     return;
   }
-  const IdRecord* record = FindRecord(message.call, message.id, message.owner);
+  const IdRecord* const record =
+      FindRecord(message.call, message.id, message.owner);
   if (record == nullptr) {
     return;
   }
+  if (record->state == IdState::kActive) {
+    // The record may leave the window with the ids that the answers issue.
+    Job& job = *jobs_.Find(message.id.counter);
+    FailJob(job, Reason::kCancelled, "cancelled by the caller");
+    AnswerJob(job, message.call, 0);
+    return;
+  }
   if (record->state == IdState::kReserved) {
     ids_.Close(message.id.counter, RunState::kNotRun, Reason::kCancelled);
-  } else if (record->state == IdState::kActive) {
-    FailJob(*jobs_.Find(message.id.counter), Reason::kCancelled,
-            "cancelled by the caller");
   }
-  record = ids_.Find(message.id.counter);
   AnswerFromRecord(message.call, message.id.counter, *record);
 }
 
@@ -117,11 +120,15 @@
 
 void Dispatcher::Core::On(const ForwardFailed& message) {
   calls_.emplace(message.call.value, std::nullopt);
+  RefuseUnreachable(message.call, message.id);
+}
+
+void Dispatcher::Core::RefuseUnreachable(CallId call, const JobId& id) {
   Refusal refusal =
       MakeRefusal(RunState::kUnknown, Reason::kIssuerUnreachable,
                   "the entry that issued the id cannot be reached");
-  refusal.id = message.id;
-  Refuse(message.call, std::move(refusal));
+  refusal.id = id;
+  Refuse(call, std::move(refusal));
 }
 
 void Dispatcher::Core::SubmitUnderKey(Submission submission,
@@ -172,8 +179,6 @@
   }
   PendingClaim claim = std::move(it->second);
   claims_.erase(it);
-  // The caller may have gone; the call must still exist for the answer.
-  calls_.emplace(message.call.value, std::nullopt);
   Submission submission{.call = message.call,
                         .request = std::move(claim.request),
                         .arrival = claim.arrival};
@@ -183,7 +188,9 @@
   }
   // Another copy of the submission may have found this claim and submitted
   // under the id before the claim's own answer arrived.
-  const bool was_found = ids_.Find(claim.counter)->state != IdState::kReserved;
+  const IdRecord* const record = ids_.Find(claim.counter);
+  const bool was_found =
+      record != nullptr && record->state != IdState::kReserved;
   const auto* const held = std::get_if<KeyHeld>(&message.result);
   const bool is_own = held != nullptr && held->holder == IdOf(claim.counter);
   if (was_found || is_own) {
@@ -309,12 +316,24 @@
     Refuse(call, std::move(refusal));
     return;
   }
+  if (const auto closing = CheckEntry();
+      closing && closing->reason == Reason::kDraining) {
+    // Under load, forwards would keep the process from ever ending.
+    Refusal refusal = *closing;
+    refusal.run = RunState::kUnknown;
+    refusal.id = id;
+    Refuse(call, std::move(refusal));
+    return;
+  }
   const Instance* const issuer = FindEntry(id.entry);
   if (forwarded || issuer == nullptr) {
-    On(ForwardFailed{.call = call, .id = id});
+    RefuseUnreachable(call, id);
+    return;
+  }
+  if (calls_.erase(call.value) == 0) {
+    // The caller has gone, and the issuing entry has the job already.
     return;
   }
-  calls_.erase(call.value);
   observer_.OnForwarded();
   std::visit([](auto& call_message) { call_message.forwarded = true; },
              message);
--- a/src/dispatch/core_checks.cc
+++ b/src/dispatch/core_checks.cc
@@ -127,13 +127,22 @@
                               request.service + "\"",
                    .retry_after = std::chrono::seconds(1)};
   }
+  const Duration timeout = request.timeout.value_or(entry.kind.default_timeout);
+  const Duration time_left = timeout - (now_ - submission.arrival);
+  // The claim of a key can outlast the deadline. Admission does not notice it
+  // while the run time of the kind is not learned.
+  if (time_left <= Duration(0)) {
+    return Refusal{
+        .run = RunState::kNotRun,
+        .reason = Reason::kDeadlineExceeded,
+        .message = "the deadline passed before the job was admitted"};
+  }
   const internal::OwnerNumber owner = catalogue_.InternOwner(request.owner);
   const internal::FairQueue& queue = QueueOf(entry.service);
-  const Duration timeout = request.timeout.value_or(entry.kind.default_timeout);
   const internal::AdmissionInput input{
       .job_tasks = request.tasks.size(),
       .job_bytes = internal::PayloadBytes(request),
-      .timeout = timeout - (now_ - submission.arrival),
+      .timeout = time_left,
       .mean_run_time = entry.run_time.mean(),
       .p99_run_time = entry.run_time.p99(),
       .entry_tasks = unfinished_tasks_,
--- a/src/dispatch/core_control.cc
+++ b/src/dispatch/core_control.cc
@@ -1,25 +1,35 @@
 // Configuration, membership and draining.
 #include <algorithm>
 #include <map>
+#include <tuple>
 #include <utility>
 
 #include "dispatch/core.h"
 
 namespace jaypick {
 
+namespace {
+
+// Two changes can get the same version when the platform's service restarts
+// with an older head. Then all entries keep the one that was accepted later.
+auto OrderOf(const Configuration& configuration) {
+  const ConfigurationHeader& header = configuration.header();
+  return std::tie(header.version, header.created_unix_ms, header.digest);
+}
+
+}  // namespace
+
 void Dispatcher::Core::On(ConfigurationOffered& message) {
-  const bool is_newer = !configuration_ || message.configuration.version() >
-                                               configuration_->version();
+  const bool is_newer = !configuration_ || OrderOf(message.configuration) >
+                                               OrderOf(*configuration_);
   if (!is_newer && !Is(internal::Mutant::kConfigurationGoesBack)) {
     return;
   }
-  const std::uint64_t old_version =
-      configuration_ ? configuration_->version() : 0;
-  configuration_ = std::move(message.configuration);
-  if (configuration_->version() <= old_version) {
-    Violation("a configuration version never decreases",
-              std::to_string(configuration_->version()));
+  if (!is_newer) {
+    Violation("a configuration never goes back",
+              std::to_string(message.configuration.version()));
   }
+  configuration_ = std::move(message.configuration);
   catalogue_.Apply(*configuration_, [this](const std::string& service) {
     return pool_.InternService(service);
   });
--- a/src/dispatch/core_jobs.cc
+++ b/src/dispatch/core_jobs.cc
@@ -1,4 +1,5 @@
 // Lives of jobs: admission to answer.
+#include <algorithm>
 #include <utility>
 
 #include "dispatch/core.h"
@@ -52,8 +53,13 @@
 }
 
 void Dispatcher::Core::AddWaiter(Job& job, CallId call, std::uint32_t reserve) {
+  const auto it = calls_.find(call.value);
+  if (it == calls_.end()) {
+    // The caller has gone while its key was claimed.
+    return;
+  }
+  it->second = job.counter;
   job.waiters.push_back({.call = call, .reserve = reserve});
-  calls_[call.value] = job.counter;
 }
 
 void Dispatcher::Core::CompleteJob(Job& job) {
@@ -142,9 +148,7 @@
   // the same refusal, which keeps `not_run` true.
   ids_.Close(counter, refusal.run, refusal.reason);
   refusal.id = IdOf(counter);
-  const std::uint32_t reserve =
-      std::min(request.reserve, options_.reserve_limit);
-  refusal.next_ids = IssueIds(ids_.Find(counter)->owner, reserve);
+  refusal.next_ids = IssueIds(ids_.Find(counter)->owner, request.reserve);
   observer_.OnRefused(request.owner, request.kind, refusal);
   Answer(call, std::move(refusal));
 }
@@ -155,6 +159,9 @@
   if (is_draining()) {
     return ids;
   }
+  // A resubmission is not checked like a first one, so the limit is applied
+  // here, where every caller passes.
+  count = std::min(count, options_.reserve_limit);
   ids.reserve(count);
   while (ids.size() < count) {
     const auto counter = ids_.Issue(owner);
--- a/tests/simulation/entry.h
+++ b/tests/simulation/entry.h
@@ -105,6 +105,8 @@
   void CommitChange(std::int64_t revision, std::uint64_t head_version);
   void ConfirmChange(const Configuration& change);
   void OnChangeApplied(const Configuration& change);
+  // What is left to do, for messages.
+  std::string Status() const;
   void ScheduleWake();
   void Wake();
 
--- a/tests/simulation/world.h
+++ b/tests/simulation/world.h
@@ -39,8 +39,14 @@
   bool is_down = false;
   Duration slowness{0};
   double answer_loss = 0;
-  // Last time at which the service did not work as it should.
   TimePoint disturbed_at;
+
+  // Last time until `now` at which the service did not work as it should.
+  TimePoint LastDisturbed(TimePoint now) const {
+    const bool is_disturbed =
+        is_down || slowness > Duration(0) || answer_loss > 0;
+    return is_disturbed ? now : disturbed_at;
+  }
 };
 
 // The platform's instance list with its history.
@@ -54,6 +60,11 @@
   bool is_down = false;
   Duration lag{0};
   TimePoint disturbed_at;
+
+  // Last time until `now` at which the list was down or behind.
+  TimePoint LastDisturbed(TimePoint now) const {
+    return is_down || lag > Duration(0) ? now : disturbed_at;
+  }
 };
 
 // An upstream with what the instance list says about it.
