--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -113,4 +113,7 @@
                         jaypick_simulation
                         $<TARGET_NAME_IF_EXISTS:jaypick_standins>
                         $<TARGET_NAME_IF_EXISTS:jaypick_bench_code>)
+  if(JAYPICK_SANITIZE)
+    target_compile_definitions(jaypick_tests PRIVATE JAYPICK_SANITIZED)
+  endif()
 endif()
--- a/include/jaypick/dispatcher.h
+++ b/include/jaypick/dispatcher.h
@@ -69,7 +69,7 @@
   // Time for which answers are kept for resubmissions.
   Duration answer_retention = std::chrono::seconds(60);
   // Bytes of kept answers; the oldest go first.
-  std::size_t answer_bytes_limit = 64 * 1024 * 1024;
+  std::size_t answer_bytes_limit = std::size_t{64} * 1024 * 1024;
   // Shortest attempt timeout, and its multiple of the learned p99 run time.
   Duration shortest_attempt_timeout = std::chrono::seconds(2);
   double attempt_timeout_factor = 8;
--- a/src/dispatch/core.cc
+++ b/src/dispatch/core.cc
@@ -91,7 +91,7 @@
 }
 
 void Dispatcher::Core::Violation(std::string_view invariant,
-                                 std::string detail) const {
+                                 const std::string& detail) const {
   observer_.OnViolation(invariant, detail);
 }
 
--- a/src/dispatch/core.h
+++ b/src/dispatch/core.h
@@ -133,6 +133,7 @@
   void RunTimers();
   void OnTimer(const internal::JobDeadline& timer);
   void OnTimer(const internal::AttemptTimeout& timer);
+  void FailIfOverdue(Job& job);
   Task* FindAwaited(const AttemptEnded& message);
   void EndAttempt(Task& task,
                   const AttemptOutcome& outcome,
@@ -163,7 +164,7 @@
   internal::FairQueue& QueueOf(internal::ServiceNumber service);
   const Instance* FindEntry(const std::string& name) const;
   bool Is(internal::Mutant mutant) const { return options_.mutant == mutant; }
-  void Violation(std::string_view invariant, std::string detail) const;
+  void Violation(std::string_view invariant, const std::string& detail) const;
   void Expect(bool holds, std::string_view invariant, const Job& job) const;
 
   DispatcherOptions options_;
--- a/src/dispatch/core_attempts.cc
+++ b/src/dispatch/core_attempts.cc
@@ -59,8 +59,15 @@
 
 void Dispatcher::Core::OnTimer(const internal::JobDeadline& timer) {
   Job* const job = jobs_.Find(timer.counter);
-  if (job != nullptr && !job->has_ended) {
-    FailJob(*job, Reason::kDeadlineExceeded,
+  if (job != nullptr) {
+    FailIfOverdue(*job);
+  }
+}
+
+void Dispatcher::Core::FailIfOverdue(Job& job) {
+  const bool is_overdue = !job.has_ended && now_ >= job.deadline;
+  if (is_overdue && !Is(internal::Mutant::kIgnoreDeadline)) {
+    FailJob(job, Reason::kDeadlineExceeded,
             "the deadline passed before all tasks had ended");
   }
 }
@@ -76,6 +83,9 @@
   if (!is_awaited) {
     return;
   }
+  // After a pause both may be due: the deadline goes first, so that nothing is
+  // retried for a job that is over.
+  FailIfOverdue(*job);
   actions_->push_back(AbandonAttempt{.attempt = {.job = IdOf(timer.counter),
                                                  .task = timer.task,
                                                  .attempt = timer.attempt},
--- a/src/dispatch/core_calls.cc
+++ b/src/dispatch/core_calls.cc
@@ -222,6 +222,7 @@
     return;
   }
   const bool may_reopen = record->state == IdState::kClosed &&
+                          jobs_.Find(id.counter) == nullptr &&
                           Is(internal::Mutant::kReopenClosedId);
   if (record->state == IdState::kReserved || may_reopen) {
     SubmitReserved(std::move(submission), id.counter);
--- a/tests/simulation/world.cc
+++ b/tests/simulation/world.cc
@@ -124,8 +124,9 @@
     witness.Fail(start.attempt.job, "a start in another failure domain");
   }
   if (it->leaving_since) {
-    const TimePoint shown = std::max(
-        {*it->leaving_since, registry.disturbed_at, entry.list_disturbed_at()});
+    const TimePoint shown =
+        std::max({*it->leaving_since, registry.LastDisturbed(scheduler.now()),
+                  entry.list_disturbed_at()});
     if (scheduler.now() > shown + kLeavingBound) {
       witness.Fail(start.attempt.job,
                    "a start more than 5 s after the upstream was leaving");
