Add the daemon: kernel, plug-ins, settings and metrics

jaypickd turns bytes into events of the decision code and its actions into bytes. Plug-ins register themselves and exchange messages through a mailbox on the event loop; only the dispatcher plug-in changes the decision code's state.

Upstream connections are proven by GET /healthz before they carry a task, so a connection that cannot be opened is NotSent and any later fault is Lost. A timer per task was ruled out: the decision code has the attempt timeout, and evhttp's own timers are switched off on proven connections. Payloads and results stay raw text that one pass checks as JSON; building JSON values was ruled out because each would be parsed and written again.

A submission with faults of form goes to the dispatcher without its tasks, because only the dispatcher knows the state of the id and can close it; a refusal by the interface alone could say not_run of a job that is running.

Settings carry line and column of each value and report all findings at once. The head's value is read only after its revision has changed, since it may have 1 MB and is polled each second.

--- /dev/null
+++ b/src/daemon/mailbox.h
@@ -0,0 +1,74 @@
+// Delivery of messages between plug-ins on the event loop.
+#ifndef JAYPICK_DAEMON_MAILBOX_H_
+#define JAYPICK_DAEMON_MAILBOX_H_
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "daemon/message.h"
+
+struct event;
+struct event_base;
+
+namespace jaypick::daemon {
+
+namespace internal {
+
+template <typename Type, typename Variant>
+struct IndexOf;
+
+template <typename Type, typename... Rest>
+struct IndexOf<Type, std::variant<Type, Rest...>> {
+  static constexpr std::size_t kValue = 0;
+};
+
+template <typename Type, typename First, typename... Rest>
+struct IndexOf<Type, std::variant<First, Rest...>> {
+  static constexpr std::size_t kValue =
+      1 + IndexOf<Type, std::variant<Rest...>>::kValue;
+};
+
+}  // namespace internal
+
+// Queues messages and delivers them in order, by type.
+//
+// A message is delivered after the callback that sent it has returned, in the
+// same round of the event loop. A receiver may move from the message that it
+// gets if it is the one the message is meant for.
+class Mailbox {
+ public:
+  explicit Mailbox(event_base* base);
+  ~Mailbox();
+  Mailbox(const Mailbox&) = delete;
+  Mailbox& operator=(const Mailbox&) = delete;
+
+  template <typename Type>
+  void Subscribe(std::function<void(Type&)> receiver) {
+    receivers_[internal::IndexOf<Type, Message>::kValue].push_back(
+        [receiver = std::move(receiver)](Message& message) {
+          receiver(*std::get_if<Type>(&message));
+        });
+  }
+
+  void Send(Message message);
+
+ private:
+  using Receiver = std::function<void(Message&)>;
+
+  static void OnActive(int socket, short what, void* self);
+  void Deliver();
+
+  event* event_;
+  bool is_active_ = false;
+  std::vector<Message> queue_;
+  std::vector<Message> delivering_;
+  std::array<std::vector<Receiver>, std::variant_size_v<Message>> receivers_;
+};
+
+}  // namespace jaypick::daemon
+
+#endif  // JAYPICK_DAEMON_MAILBOX_H_
--- /dev/null
+++ b/src/daemon/upstream_plug_in.cc
@@ -0,0 +1,39 @@
+// Plug-in `upstream_client`: starts attempts and reports how they ended.
+#include <utility>
+
+#include "daemon/kernel.h"
+#include "daemon/upstream_client.h"
+
+namespace jaypick::daemon {
+namespace {
+
+class UpstreamPlugIn : public PlugIn {
+ public:
+  explicit UpstreamPlugIn(Kernel& kernel)
+      : client_(kernel.base(),
+                {.open_timeout = kernel.settings().upstream_connect_timeout},
+                {.on_ended =
+                     [&kernel](AttemptEnded ended) {
+                       kernel.mailbox().Send(Event(std::move(ended)));
+                     },
+                 .on_probe =
+                     [&kernel] { kernel.metrics().CountWaste(Waste::kProbe); },
+                 .now = [&kernel] { return kernel.Now(); }}) {
+    kernel.mailbox().Subscribe<StartAttempt>(
+        [this](StartAttempt& start) { client_.Start(std::move(start)); });
+    kernel.mailbox().Subscribe<AbandonAttempt>(
+        [this, &kernel](AbandonAttempt& abandon) {
+          kernel.metrics().CountWaste(Waste::kAbandoned);
+          client_.Abandon(abandon);
+        });
+  }
+
+ private:
+  UpstreamClient client_;
+};
+
+const PluginRegistration kRegistration =
+    Register<UpstreamPlugIn>("upstream_client");
+
+}  // namespace
+}  // namespace jaypick::daemon
