--- /dev/null
+++ b/src/daemon/poller.h
@@ -0,0 +1,34 @@
+// Work that repeats at an interval.
+#ifndef JAYPICK_DAEMON_POLLER_H_
+#define JAYPICK_DAEMON_POLLER_H_
+
+#include <functional>
+
+#include "jaypick/time.h"
+
+struct event;
+struct event_base;
+
+namespace jaypick::daemon {
+
+// Calls `poll` at once after `Start` and then every `interval`.
+class Poller {
+ public:
+  Poller(event_base* base, Duration interval, std::function<void()> poll);
+  ~Poller();
+  Poller(const Poller&) = delete;
+  Poller& operator=(const Poller&) = delete;
+
+  void Start();
+
+ private:
+  static void OnTimer(int socket, short what, void* self);
+
+  std::function<void()> poll_;
+  Duration interval_;
+  event* timer_;
+};
+
+}  // namespace jaypick::daemon
+
+#endif  // JAYPICK_DAEMON_POLLER_H_
--- /dev/null
+++ b/src/settings/located_json.h
@@ -0,0 +1,34 @@
+// JSON documents whose values know their place in the text.
+#ifndef JAYPICK_SETTINGS_LOCATED_JSON_H_
+#define JAYPICK_SETTINGS_LOCATED_JSON_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+#include "jaypick/source_region.h"
+
+namespace jaypick {
+
+// A parsed document, the region of each value by its JSON pointer, and what was
+// wrong with the text.
+struct LocatedJson {
+  nlohmann::json value;
+  // Key "" is the whole document. A member's region is that of its value.
+  std::map<std::string, SourceRegion> regions;
+  // Syntax errors and members that occur twice.
+  Findings findings;
+
+  // The region of the value at `pointer`, or of the nearest value around it
+  // that exists.
+  const SourceRegion& Region(const std::string& pointer) const;
+};
+
+// Parses `text`. `source` names it in regions.
+LocatedJson ParseLocated(std::string_view text, const std::string& source);
+
+}  // namespace jaypick
+
+#endif  // JAYPICK_SETTINGS_LOCATED_JSON_H_
