Add the command-line tool of callers and operators

Abseil holds the flags but its parser is not used: it ends the process with code 1 where 2 is documented, and repeated flags replace each other.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -37,7 +37,9 @@
   jaypick_platform jaypick_settings jaypick_easylogging prometheus-cpp::core
   absl::flags absl::flags_parse)
 jaypick_optional_library(jaypick_cli FOLDERS cli LINK
-  jaypick_http jaypick_configuration absl::flags absl::flags_parse)
+  jaypick_http jaypick_configuration absl::flags absl::flags_reflection)
+target_compile_definitions(jaypick_cli PRIVATE
+                           JAYPICK_VERSION="${PROJECT_VERSION}")
 
 # Object libraries do not hand on their objects; programs list what they use.
 set(JAYPICK_CORE_OBJECTS jaypick_core)
@@ -101,6 +103,7 @@
   add_executable(jaypick_tests ${TEST_SOURCES})
   target_include_directories(jaypick_tests PRIVATE ${CMAKE_SOURCE_DIR})
   target_link_libraries(jaypick_tests PRIVATE PkgConfig::CRITERION ${JAYPICK_ALL}
+                        jaypick_cli
                         $<TARGET_NAME_IF_EXISTS:jaypick_standins>
                         $<TARGET_NAME_IF_EXISTS:jaypick_bench_code>)
 endif()
