--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -23,9 +23,10 @@
                                                       ELPP_NO_LOG_TO_FILE)
 
 find_library(CSV_LIBRARY csv REQUIRED)
+pkg_check_modules(ICU REQUIRED IMPORTED_TARGET icu-uc icu-i18n)
 
 jaypick_optional_library(jaypick_configuration FOLDERS configuration LINK
-  jaypick_core nlohmann_json::nlohmann_json ${CSV_LIBRARY})
+  jaypick_core nlohmann_json::nlohmann_json ${CSV_LIBRARY} PkgConfig::ICU)
 jaypick_optional_library(jaypick_settings FOLDERS settings LINK
   jaypick_core nlohmann_json::nlohmann_json)
 jaypick_optional_library(jaypick_http FOLDERS http LINK
@@ -99,8 +100,6 @@
 if(TEST_SOURCES)
   add_executable(jaypick_tests ${TEST_SOURCES})
   target_include_directories(jaypick_tests PRIVATE ${CMAKE_SOURCE_DIR})
-  # Criterion's macros leave designated fields out and shadow names.
-  target_compile_options(jaypick_tests PRIVATE -Wno-missing-field-initializers)
   target_link_libraries(jaypick_tests PRIVATE PkgConfig::CRITERION ${JAYPICK_ALL}
                         $<TARGET_NAME_IF_EXISTS:jaypick_standins>
                         $<TARGET_NAME_IF_EXISTS:jaypick_bench_code>)
--- a/include/jaypick/dispatcher.h
+++ b/include/jaypick/dispatcher.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "jaypick/internal/admission.h"
+#include "jaypick/internal/mutant.h"
 #include "jaypick/internal/retry_budget.h"
 #include "jaypick/messages.h"
 #include "jaypick/placement.h"
@@ -68,14 +69,19 @@
   // Time for which answers are kept for resubmissions.
   Duration answer_retention = std::chrono::seconds(60);
   // Bytes of kept answers; the oldest go first.
-  std::size_t answer_bytes_limit = 64 * 1024 * 1024;
+  std::size_t answer_bytes_limit = std::size_t{64} * 1024 * 1024;
   // Shortest attempt timeout, and its multiple of the learned p99 run time.
   Duration shortest_attempt_timeout = std::chrono::seconds(2);
   double attempt_timeout_factor = 8;
+  // Repeated placements per second that are allowed without a token, so that
+  // tasks that were refused do not wait for new load to earn tokens.
+  double retries_per_second_floor = 10;
   // Over all entries together; each takes its part by the listed entries.
   double key_claims_per_second = 120;
   // Null: nothing is reported.
   DispatchObserver* observer = nullptr;
+  // For tests only.
+  internal::Mutant mutant = internal::Mutant::kNone;
 };
 
 // Takes typed messages with the time and says what to do.
