--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -35,7 +35,7 @@
   jaypick_http jaypick_configuration absl::strings)
 jaypick_optional_library(jaypick_daemon FOLDERS daemon LINK
   jaypick_platform jaypick_settings jaypick_easylogging prometheus-cpp::core
-  absl::flags absl::flags_parse)
+  PkgConfig::OPENSSL absl::flags absl::flags_parse)
 jaypick_optional_library(jaypick_cli FOLDERS cli LINK
   jaypick_http jaypick_configuration absl::flags absl::flags_parse)
 
--- /dev/null
+++ b/src/daemon/api_answer.cc
@@ -0,0 +1,194 @@
+#include "daemon/api_answer.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "daemon/raw_json.h"
+
+namespace jaypick::daemon {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kGone = 410;
+constexpr int kTooManyRequests = 429;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+// Room for ids and names in an answer, to save a reallocation.
+constexpr std::size_t kRoomForIds = 256;
+constexpr Duration kDefaultRetryAfter = std::chrono::seconds(1);
+
+void AppendIds(std::string& json,
+               std::string_view name,
+               const std::vector<JobId>& ids) {
+  json += '"';
+  json += name;
+  json += "\":[";
+  for (std::size_t i = 0; i < ids.size(); ++i) {
+    json += i == 0 ? "" : ",";
+    AppendJsonString(json, ToString(ids[i]));
+  }
+  json += ']';
+}
+
+void AppendNextIds(std::string& json, const std::vector<JobId>& ids) {
+  if (!ids.empty()) {
+    json += ',';
+    AppendIds(json, "next_ids", ids);
+  }
+}
+
+void AppendField(std::string& json,
+                 std::string_view name,
+                 std::string_view value) {
+  json += ",\"";
+  json += name;
+  json += "\":";
+  AppendJsonString(json, value);
+}
+
+std::string Begin(std::string_view status) {
+  std::string json = "{\"status\":\"";
+  json += status;
+  json += '"';
+  return json;
+}
+
+void AppendFaults(std::string& json, const std::vector<Fault>& faults) {
+  if (faults.empty()) {
+    return;
+  }
+  json += ",\"faults\":[";
+  for (std::size_t i = 0; i < faults.size(); ++i) {
+    json += i == 0 ? "{\"place\":" : ",{\"place\":";
+    AppendJsonString(json, faults[i].place);
+    AppendField(json, "message", faults[i].message);
+    json += '}';
+  }
+  json += ']';
+}
+
+std::int64_t WholeSeconds(Duration duration) {
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(duration);
+  return std::max<std::int64_t>(seconds.count(), 1);
+}
+
+struct Writer {
+  http::Response operator()(const ReservedIds& answer) const {
+    std::string json = Begin("reserved");
+    json += ',';
+    AppendIds(json, "ids", answer.ids);
+    return Finish(kOk, std::move(json));
+  }
+
+  http::Response operator()(const RunningAnswer& answer) const {
+    std::string json = Begin("running");
+    AppendField(json, "id", ToString(answer.id));
+    AppendNextIds(json, answer.next_ids);
+    return Finish(kAccepted, std::move(json));
+  }
+
+  http::Response operator()(const CompleteAnswer& answer) const {
+    std::string json = Begin("complete");
+    std::size_t size = json.size();
+    for (const std::string& result : answer.results) {
+      size += result.size() + 1;
+    }
+    json.reserve(size + kRoomForIds);
+    AppendField(json, "id", ToString(answer.id));
+    json += ",\"results\":[";
+    for (std::size_t i = 0; i < answer.results.size(); ++i) {
+      if (i != 0) {
+        json += ',';
+      }
+      json += answer.results[i];
+    }
+    json += ']';
+    AppendNextIds(json, answer.next_ids);
+    return Finish(kOk, std::move(json));
+  }
+
+  http::Response operator()(const Refusal& refusal) const {
+    const int status = StatusOf(refusal.reason);
+    std::optional<Duration> retry_after = refusal.retry_after;
+    if (!retry_after && status == kUnavailable) {
+      retry_after = kDefaultRetryAfter;
+    }
+    std::string json = Begin("refused");
+    if (refusal.id) {
+      AppendField(json, "id", ToString(*refusal.id));
+    }
+    AppendField(json, "run", ToString(refusal.run));
+    AppendField(json, "reason", ToString(refusal.reason));
+    AppendField(json, "message", refusal.message);
+    if (retry_after) {
+      json += ",\"retry_after_ms\":";
+      json += std::to_string(ToMilliseconds(*retry_after));
+    }
+    AppendFaults(json, refusal.faults);
+    AppendNextIds(json, refusal.next_ids);
+    http::Response response = Finish(status, std::move(json));
+    if (retry_after) {
+      response.headers.push_back(
+          {.name = "Retry-After",
+           .value = std::to_string(WholeSeconds(*retry_after))});
+    }
+    return response;
+  }
+
+  static http::Response Finish(int status, std::string json) {
+    json += '}';
+    return {.status = status, .headers = {}, .body = std::move(json)};
+  }
+};
+
+}  // namespace
+
+int StatusOf(Reason reason) {
+  switch (reason) {
+    case Reason::kBadRequest:
+    case Reason::kUnknownKind:
+    case Reason::kUnknownOwner:
+    case Reason::kNeedsNotOffered:
+      return kBadRequest;
+    case Reason::kIdNeverIssued:
+    case Reason::kNotSubmitted:
+      return kNotFound;
+    case Reason::kIdClosed:
+    case Reason::kIdReused:
+    case Reason::kCancelled:
+      return kConflict;
+    case Reason::kIdExpired:
+    case Reason::kIssuerGone:
+    case Reason::kAnswerExpired:
+      return kGone;
+    case Reason::kQueueFull:
+      return kTooManyRequests;
+    case Reason::kTaskFailed:
+    case Reason::kTaskOutcomeUnknown:
+      return kBadGateway;
+    case Reason::kIssuerUnreachable:
+    case Reason::kKeyClaimUnavailable:
+    case Reason::kNoConfiguration:
+    case Reason::kNoUpstream:
+    case Reason::kOverloaded:
+    case Reason::kDeadlineUnreachable:
+    case Reason::kDraining:
+      return kUnavailable;
+    case Reason::kDeadlineExceeded:
+      return kGatewayTimeout;
+  }
+  return kBadRequest;
+}
+
+http::Response ToResponse(const CallAnswer& answer) {
+  return std::visit(Writer{}, answer);
+}
+
+}  // namespace jaypick::daemon
--- /dev/null
+++ b/src/daemon/bearer_token.h
@@ -0,0 +1,34 @@
+// The operators' bearer token.
+#ifndef JAYPICK_DAEMON_BEARER_TOKEN_H_
+#define JAYPICK_DAEMON_BEARER_TOKEN_H_
+
+#include <string>
+#include <vector>
+
+#include "http/http.h"
+
+namespace jaypick::daemon {
+
+// Compares tokens in a time that does not depend on where they differ.
+class BearerToken {
+ public:
+  // Reads the token from a file, without white space around it.
+  //
+  // Throws `std::runtime_error` if the file cannot be read or holds less than
+  // `kShortestBytes`.
+  static BearerToken Load(const std::string& path);
+
+  explicit BearerToken(std::string token) : token_(std::move(token)) {}
+
+  // True if the header `Authorization` has the form "Bearer <token>".
+  bool IsIn(const std::vector<http::Header>& headers) const;
+
+  static constexpr std::size_t kShortestBytes = 16;
+
+ private:
+  std::string token_;
+};
+
+}  // namespace jaypick::daemon
+
+#endif  // JAYPICK_DAEMON_BEARER_TOKEN_H_
