--- a/src/daemon/api_server.h
+++ b/src/daemon/api_server.h
@@ -2,7 +2,11 @@
 #ifndef JAYPICK_DAEMON_API_SERVER_H_
 #define JAYPICK_DAEMON_API_SERVER_H_
 
+#include <string>
+#include <string_view>
+
 #include "daemon/kernel.h"
+#include "daemon/log.h"
 #include "http/server.h"
 
 namespace jaypick::daemon {
@@ -10,7 +14,7 @@
 // Owns a server, and closes it gracefully when the process drains.
 class ApiServer : public PlugIn {
  public:
-  ApiServer(Kernel& kernel, const Address& address)
+  ApiServer(Kernel& kernel, std::string_view interface, const Address& address)
       : server_(kernel.base(),
                 {.address = address,
                  .body_limit_bytes = kernel.settings().body_limit_bytes,
@@ -18,6 +22,10 @@
     // From the start of a drain, kept connections move to other entries.
     kernel.mailbox().Subscribe<ShutdownRequested>(
         [this](ShutdownRequested&) { server_.CloseAfterAnswers(); });
+    LogEvent(LogLevel::kInfo, "listening",
+             {{"interface", std::string(interface)},
+              {"host", address.host},
+              {"port", std::to_string(server_.port())}});
   }
 
   void StopAccepting() override { server_.StopAccepting(); }
--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -9,7 +9,7 @@
 class CallerApi : public ApiServer {
  public:
   explicit CallerApi(Kernel& kernel)
-      : ApiServer(kernel, kernel.settings().caller),
+      : ApiServer(kernel, "caller", kernel.settings().caller),
         calls_(kernel, server(), /*is_forwarded=*/false) {}
 
  private:
--- a/src/daemon/observability.cc
+++ b/src/daemon/observability.cc
@@ -22,7 +22,8 @@
 class Observability : public ApiServer {
  public:
   explicit Observability(Kernel& kernel)
-      : ApiServer(kernel, kernel.settings().observability), kernel_(kernel) {
+      : ApiServer(kernel, "observability", kernel.settings().observability),
+        kernel_(kernel) {
     kernel.mailbox().Subscribe<ShutdownRequested>(
         [this](ShutdownRequested&) { is_shutting_down_ = true; });
     Serve("/metrics", [this] {
--- a/src/daemon/operator_plug_in.cc
+++ b/src/daemon/operator_plug_in.cc
@@ -45,7 +45,7 @@
 class OperatorPlugIn : public ApiServer {
  public:
   explicit OperatorPlugIn(Kernel& kernel)
-      : ApiServer(kernel, kernel.settings().operators),
+      : ApiServer(kernel, "operators", kernel.settings().operators),
         kernel_(kernel),
         token_(BearerToken::Load(kernel.settings().operator_token_file)),
         api_({.store = &kernel.store(),
--- a/src/daemon/peer_api.cc
+++ b/src/daemon/peer_api.cc
@@ -16,7 +16,7 @@
 class PeerApi : public ApiServer {
  public:
   explicit PeerApi(Kernel& kernel)
-      : ApiServer(kernel, kernel.settings().peer),
+      : ApiServer(kernel, "peer", kernel.settings().peer),
         kernel_(kernel),
         calls_(kernel, server(), /*is_forwarded=*/true) {
     server().Handle(
