--- a/src/daemon/api_answer.cc
+++ b/src/daemon/api_answer.cc
@@ -187,6 +187,22 @@
   return kBadRequest;
 }
 
+std::function<http::Response(std::size_t)> OversizeAnswer(
+    std::size_t limit_bytes) {
+  return [limit_bytes](std::size_t size) {
+    const std::string message = "the body has " + std::to_string(size) +
+                                " bytes; at most " +
+                                std::to_string(limit_bytes) + " are taken";
+    return ToResponse(Refusal{.id = std::nullopt,
+                              .run = RunState::kUnknown,
+                              .reason = Reason::kBadRequest,
+                              .message = message,
+                              .retry_after = std::nullopt,
+                              .faults = {{.place = "", .message = message}},
+                              .next_ids = {}});
+  };
+}
+
 http::Response ToResponse(const CallAnswer& answer) {
   return std::visit(Writer{}, answer);
 }
--- a/src/daemon/api_request.cc
+++ b/src/daemon/api_request.cc
@@ -180,7 +180,10 @@
 SubmitRequest ReadSubmit(const std::string& body) {
   Fields fields(body, "tasks");
   if (!fields.is_readable()) {
-    return {.request = {}, .has_identity = false, .faults = fields.Finish()};
+    return {.request = {},
+            .has_identity = false,
+            .is_readable = false,
+            .faults = fields.Finish()};
   }
   auto identity = ReadIdentity(fields);
   JobRequest request;
--- a/src/daemon/api_request.h
+++ b/src/daemon/api_request.h
@@ -22,6 +22,8 @@
 struct SubmitRequest {
   JobRequest request;
   bool has_identity = false;
+  // False: the body is no JSON object, and may name any job.
+  bool is_readable = true;
   std::vector<Fault> faults;
 };
 
--- a/src/daemon/api_server.h
+++ b/src/daemon/api_server.h
@@ -2,6 +2,7 @@
 #ifndef JAYPICK_DAEMON_API_SERVER_H_
 #define JAYPICK_DAEMON_API_SERVER_H_
 
+#include "daemon/api_answer.h"
 #include "daemon/kernel.h"
 #include "http/server.h"
 
@@ -14,6 +15,8 @@
       : server_(kernel.base(),
                 {.address = address,
                  .body_limit_bytes = kernel.settings().body_limit_bytes,
+                 .on_oversize_body =
+                     OversizeAnswer(kernel.settings().body_limit_bytes),
                  .connection_limit = kernel.settings().connection_limit}) {
     // From the start of a drain, kept connections move to other entries.
     kernel.mailbox().Subscribe<ShutdownRequested>(
--- a/src/daemon/call_api.cc
+++ b/src/daemon/call_api.cc
@@ -89,7 +89,7 @@
 void CallApi::Reserve(const Request& request, Responder responder) {
   auto read = ReadReserve(request.body);
   if (auto* const faults = std::get_if<std::vector<Fault>>(&read)) {
-    Refuse(responder, std::move(*faults));
+    Refuse(responder, std::move(*faults), RunState::kNotRun);
     return;
   }
   auto& reserve = std::get<ReserveRequest>(read);
@@ -109,7 +109,8 @@
   }
   if (!read.has_identity) {
     // Without an identity this is no submission, and nothing runs for it.
-    Refuse(responder, std::move(read.faults));
+    Refuse(responder, std::move(read.faults),
+           read.is_readable ? RunState::kNotRun : RunState::kUnknown);
     return;
   }
   const CallId call = Open(std::move(responder), std::move(read.faults));
@@ -126,7 +127,7 @@
   }
   auto read = ReadQuery(request);
   if (auto* const faults = std::get_if<std::vector<Fault>>(&read)) {
-    Refuse(responder, std::move(*faults));
+    Refuse(responder, std::move(*faults), RunState::kUnknown);
     return;
   }
   auto& query = std::get<QueryRequest>(read);
@@ -146,7 +147,7 @@
   }
   auto read = ReadCancel(request.body);
   if (auto* const faults = std::get_if<std::vector<Fault>>(&read)) {
-    Refuse(responder, std::move(*faults));
+    Refuse(responder, std::move(*faults), RunState::kUnknown);
     return;
   }
   const CallId call = Open(std::move(responder), {});
@@ -219,9 +220,11 @@
   responder.Send(std::move(response));
 }
 
-void CallApi::Refuse(Responder& responder, std::vector<Fault> faults) const {
+void CallApi::Refuse(Responder& responder,
+                     std::vector<Fault> faults,
+                     RunState run) const {
   const Refusal refusal{.id = std::nullopt,
-                        .run = RunState::kNotRun,
+                        .run = run,
                         .reason = Reason::kBadRequest,
                         .message = kFaultsMessage,
                         .retry_after = std::nullopt,
--- a/src/daemon/call_api.h
+++ b/src/daemon/call_api.h
@@ -38,7 +38,9 @@
   void Answer(AnswerCall& message);
   void Relay(RelayAnswer& message);
   void Send(http::Responder& responder, http::Response response) const;
-  void Refuse(http::Responder& responder, std::vector<Fault> faults) const;
+  void Refuse(http::Responder& responder,
+              std::vector<Fault> faults,
+              RunState run) const;
   void RefuseId(http::Responder& responder) const;
 
   Kernel& kernel_;
--- a/src/daemon/kernel.cc
+++ b/src/daemon/kernel.cc
@@ -47,6 +47,8 @@
       incarnation_(RandomIncarnation()),
       base_(base),
       mailbox_(base) {
+  // A peer that closes while we write is an error code, not a signal.
+  std::signal(SIGPIPE, SIG_IGN);
   store_ = make_store(*this);
   for (const auto& [name, factory] : PluginRegistration::registry()) {
     plug_ins_.emplace(name, factory(*this));
@@ -74,8 +76,6 @@
 }
 
 void Kernel::Run() {
-  // A peer that closes while we write is an error code, not a signal.
-  std::signal(SIGPIPE, SIG_IGN);
   evsignal_add(terminate_, nullptr);
   evsignal_add(interrupt_, nullptr);
   event_base_dispatch(base());
--- a/src/daemon/log.cc
+++ b/src/daemon/log.cc
@@ -14,7 +14,7 @@
 namespace {
 
 struct LogState {
-  LogLevel lowest = LogLevel::kInfo;
+  LogLevel lowest = LogLevel::kError;
   MonotonicClock clock;
   std::map<std::string, LogLimiter, std::less<>> limiters;
 };
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -19,7 +19,8 @@
 // The level called `name` ("debug", "info", "warning", "error").
 LogLevel ParseLogLevel(std::string_view name);
 
-// Prepares the logger; lines below `lowest` are dropped.
+// Prepares the logger; lines below `lowest` are dropped. Before it is called,
+// only errors are written.
 void StartLog(LogLevel lowest);
 
 // Writes {"time", "level", "event", fields...} as one line.
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -156,7 +156,7 @@
 
 void Metrics::OnAttemptEnded(std::string_view owner,
                              std::string_view kind,
-                             std::string_view upstream,
+                             std::string_view /*upstream*/,
                              const AttemptOutcome& outcome) {
   prometheus::Counter*& ended = outcomes_[outcome.index()];
   if (ended == nullptr) {
@@ -168,15 +168,15 @@
     return;
   }
   Series& series = Find(owner, kind);
-  if (const auto* const lost = std::get_if<attempt::Lost>(&outcome)) {
+  const bool is_lost = std::holds_alternative<attempt::Lost>(outcome);
+  const bool is_refused = std::holds_alternative<attempt::Refused>(outcome);
+  if (is_lost) {
     series.unknown->Increment();
-    LogEvent(LogLevel::kWarning, "attempt_lost",
-             {{"upstream", std::string(upstream)}, {"cause", lost->cause}});
   }
-  if (std::holds_alternative<attempt::Refused>(outcome)) {
+  if (is_refused) {
     CountWaste(Waste::kRefusedStart);
   }
-  if (!std::holds_alternative<attempt::Failed>(outcome)) {
+  if (is_lost || is_refused) {
     series.wasted->Increment();
   }
 }
--- a/src/daemon/upstream_client.cc
+++ b/src/daemon/upstream_client.cc
@@ -45,8 +45,9 @@
 void UpstreamClient::Start(StartAttempt attempt) {
   Upstream& upstream = Find(attempt);
   std::string text = ToString(attempt.attempt);
-  upstream.waiting.push_back(
-      {.start = std::move(attempt), .text = std::move(text)});
+  upstream.waiting.push_back({.start = std::move(attempt),
+                              .text = std::move(text),
+                              .queued_at = callbacks_.now()});
   Serve(upstream);
 }
 
@@ -112,12 +113,20 @@
 void UpstreamClient::Send(Upstream& upstream, UpstreamConnection& connection) {
   Attempt attempt = std::move(upstream.waiting.front());
   upstream.waiting.pop_front();
+  const Duration remaining =
+      attempt.start.remaining - (callbacks_.now() - attempt.queued_at);
   const UpstreamTask task{.attempt = attempt.text,
                           .kind_json = KindJson(attempt.start.kind),
                           .payload = std::move(attempt.start.payload),
-                          .remaining = attempt.start.remaining};
-  if (!connection.Send(task)) {
-    Close(connection);
+                          .remaining = remaining};
+  // A connection that took long to open may have used up the time.
+  const bool is_late = remaining <= Duration(0);
+  if (is_late || !connection.Send(task)) {
+    if (is_late) {
+      upstream.idle.push_back(&connection);
+    } else {
+      Close(connection);
+    }
     callbacks_.on_ended({.attempt = std::move(attempt.start.attempt),
                          .upstream = upstream.name,
                          .outcome = attempt::NotSent{},
--- a/src/daemon/upstream_client.h
+++ b/src/daemon/upstream_client.h
@@ -60,6 +60,7 @@
   struct Attempt {
     StartAttempt start;
     std::string text;
+    TimePoint queued_at;
   };
 
   struct Connection {
--- a/src/daemon/upstream_plug_in.cc
+++ b/src/daemon/upstream_plug_in.cc
@@ -1,12 +1,23 @@
 // Plug-in `upstream_client`: starts attempts and reports how they ended.
 #include <utility>
+#include <variant>
 
 #include "daemon/kernel.h"
+#include "daemon/log.h"
 #include "daemon/upstream_client.h"
 
 namespace jaypick::daemon {
 namespace {
 
+void LogLoss(const AttemptEnded& ended) {
+  if (const auto* const lost = std::get_if<attempt::Lost>(&ended.outcome)) {
+    LogEvent(LogLevel::kWarning, "attempt_lost",
+             {{"id", ToString(ended.attempt)},
+              {"upstream", ended.upstream},
+              {"cause", lost->cause}});
+  }
+}
+
 class UpstreamPlugIn : public PlugIn {
  public:
   explicit UpstreamPlugIn(Kernel& kernel)
@@ -14,6 +25,7 @@
                 {.open_timeout = kernel.settings().upstream_connect_timeout},
                 {.on_ended =
                      [&kernel](AttemptEnded ended) {
+                       LogLoss(ended);
                        kernel.mailbox().Send(Event(std::move(ended)));
                      },
                  .on_probe =
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -28,6 +28,7 @@
 constexpr int kBacklog = 1024;
 constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
+constexpr int kTooLarge = 413;
 constexpr int kInternalError = 500;
 // Bytes of further requests that are read ahead while one is being handled.
 constexpr std::size_t kReadAheadBytes = std::size_t{64} * 1024;
@@ -126,7 +127,7 @@
     const timeval idle = ToTimeval(options_.idle_timeout);
     evhttp_set_timeout_tv(http_, &idle);
     evhttp_set_max_body_size(
-        http_, static_cast<ev_ssize_t>(options_.body_limit_bytes));
+        http_, static_cast<ev_ssize_t>(2 * options_.body_limit_bytes));
     evhttp_set_max_headers_size(
         http_, static_cast<ev_ssize_t>(options_.header_limit_bytes));
     evhttp_set_allowed_methods(http_, kAllMethods);
@@ -282,6 +283,12 @@
                       .body = R"({"error":"no such path"})"});
       return;
     }
+    const std::size_t size =
+        evbuffer_get_length(evhttp_request_get_input_buffer(request));
+    if (size > options_.body_limit_bytes) {
+      responder.Send(Oversize(size));
+      return;
+    }
     const auto method = MethodOf(request);
     const auto handler = method ? methods->find(*method) : methods->end();
     if (handler == methods->end()) {
@@ -299,6 +306,15 @@
     handler->second(std::move(typed), std::move(responder));
   }
 
+  Response Oversize(std::size_t size) const {
+    Response response{.headers = {}, .body = R"({"error":"body too large"})"};
+    if (options_.on_oversize_body) {
+      response = options_.on_oversize_body(size);
+    }
+    response.status = kTooLarge;
+    return response;
+  }
+
   const Methods* FindMethods(const std::string& path) const {
     const auto exact = handlers_.find(path);
     if (exact != handlers_.end()) {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -20,6 +20,10 @@
   // Port 0 lets the system choose one.
   Address address;
   std::size_t body_limit_bytes = std::size_t{8} * 1024 * 1024;
+  // Writes the answer to a body of the given size, which exceeds the limit. A
+  // body of more than twice the limit is not read to its end, and gets a 413
+  // without a JSON body.
+  std::function<Response(std::size_t)> on_oversize_body;
   std::size_t header_limit_bytes = std::size_t{16} * 1024;
   // A connection without traffic for this time is closed.
   Duration idle_timeout = std::chrono::seconds(120);
