--- a/src/dispatch/core_attempts.cc
+++ b/src/dispatch/core_attempts.cc
@@ -59,8 +59,15 @@
 
 void Dispatcher::Core::OnTimer(const internal::JobDeadline& timer) {
   Job* const job = jobs_.Find(timer.counter);
-  if (job != nullptr && !job->has_ended) {
-    FailJob(*job, Reason::kDeadlineExceeded,
+  if (job != nullptr) {
+    FailIfOverdue(*job);
+  }
+}
+
+void Dispatcher::Core::FailIfOverdue(Job& job) {
+  const bool is_overdue = !job.has_ended && now_ >= job.deadline;
+  if (is_overdue && !Is(internal::Mutant::kIgnoreDeadline)) {
+    FailJob(job, Reason::kDeadlineExceeded,
             "the deadline passed before all tasks had ended");
   }
 }
@@ -76,6 +83,9 @@
   if (!is_awaited) {
     return;
   }
+  // After a pause both may be due: the deadline goes first, so that nothing is
+  // retried for a job that is over.
+  FailIfOverdue(*job);
   actions_->push_back(AbandonAttempt{.attempt = {.job = IdOf(timer.counter),
                                                  .task = timer.task,
                                                  .attempt = timer.attempt},
@@ -106,8 +116,8 @@
   Job& job = *task.job;
   observer_.OnAttemptEnded(job.owner_name, catalogue_.entry(job.kind).kind.name,
                            pool_.name(task.upstream), outcome);
-  pool_.OnAttemptEnded(task.upstream, std::visit(EndOf(), outcome),
-                       reported_load, task.started, now_);
+  pool_.OnAttemptEnded(task.upstream, EndAtPool(task, outcome), reported_load,
+                       task.started, now_);
   --job.running;
   --running_;
   if (!MayHaveRun(outcome)) {
@@ -120,6 +130,19 @@
   std::visit([&](const auto& value) { OnOutcome(task, value); }, outcome);
 }
 
+// An attempt that is given up with its job, before most tasks of its kind have
+// ended, says nothing about the upstream.
+internal::AttemptEnd Dispatcher::Core::EndAtPool(
+    const Task& task,
+    const AttemptOutcome& outcome) const {
+  const Job& job = *task.job;
+  const bool is_early =
+      now_ - task.started < catalogue_.entry(job.kind).run_time.p99();
+  const bool is_given_up = job.has_ended && is_early &&
+                           std::holds_alternative<attempt::Lost>(outcome);
+  return is_given_up ? AttemptEnd::kAbandoned : std::visit(EndOf(), outcome);
+}
+
 void Dispatcher::Core::OnOutcome(Task& task,
                                  const attempt::Succeeded& outcome) {
   Job& job = *task.job;
@@ -247,8 +270,9 @@
   ++job.running;
   ++job.starts;
   ++running_;
+  // After the deadline nobody waits for the attempt, so its slot is given back.
   timers_.Add(
-      now_ + AttemptTimeoutOf(job.kind),
+      std::min(now_ + AttemptTimeoutOf(job.kind), job.deadline),
       internal::AttemptTimeout{
           .counter = job.counter, .task = task.index, .attempt = id.attempt});
   const Kind& kind = catalogue_.entry(job.kind).kind;
