--- a/src/daemon/api_server.h
+++ b/src/daemon/api_server.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "daemon/api_answer.h"
 #include "daemon/kernel.h"
 #include "daemon/log.h"
 #include "http/server.h"
@@ -18,6 +19,8 @@
       : server_(kernel.base(),
                 {.address = address,
                  .body_limit_bytes = kernel.settings().body_limit_bytes,
+                 .on_oversize_body =
+                     OversizeAnswer(kernel.settings().body_limit_bytes),
                  .connection_limit = kernel.settings().connection_limit}) {
     // From the start of a drain, kept connections move to other entries.
     kernel.mailbox().Subscribe<ShutdownRequested>(
