Add end-to-end fault tests with real processes

The guarantees about starts hold only if they hold between processes: the tests start stand-ins, upstreams and entries of the build folder, kill, pause, terminate and restart them, cut or silence their connections with relays, and take the upstreams' own records of starts as the witness. Entries keep their ports over a restart: the harness holds each port bound without listening, so that the system gives it to nobody else, which a free port tried beforehand would not ensure.

--- /dev/null
+++ b/tests/cluster.h
@@ -0,0 +1,145 @@
+// A small deployment of real processes: stand-ins, upstreams and entries.
+#ifndef JAYPICK_TESTS_CLUSTER_H_
+#define JAYPICK_TESTS_CLUSTER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "tests/process_harness.h"
+
+namespace jaypick::testing {
+
+struct ClusterOptions {
+  std::vector<std::string> domains = {"d1"};
+  int entries_per_domain = 2;
+  int upstreams_per_domain = 2;
+  // Peers, upstreams and the platform are reached through relays.
+  bool with_relays = false;
+  Json entry_settings = Json::object();
+};
+
+// A port that stays reserved for this test while no process listens on it.
+class ReservedPort {
+ public:
+  ReservedPort();
+  ~ReservedPort();
+  ReservedPort(const ReservedPort&) = delete;
+  ReservedPort& operator=(const ReservedPort&) = delete;
+
+  std::uint16_t value() const { return value_; }
+
+ private:
+  int socket_;
+  std::uint16_t value_;
+};
+
+// A stand-in program with its ports.
+struct Standin {
+  std::string name;
+  std::string domain;
+  std::unique_ptr<Process> process;
+  std::uint16_t port = 0;
+  std::uint16_t control_port = 0;
+};
+
+// An entry keeps its ports when it is restarted.
+struct Entry {
+  std::string name;
+  std::string domain;
+  ReservedPort caller;
+  ReservedPort peer;
+  ReservedPort operators;
+  ReservedPort observability;
+  std::string settings;
+  std::unique_ptr<Process> process;
+  // In front of `peer`; only with relays.
+  Standin relay;
+};
+
+// Starts all processes, lists them, and applies a sheet with the service "s",
+// the kinds "safe" (idempotent) and "once", and the owners "o1" and "o2".
+class Cluster {
+ public:
+  explicit Cluster(ClusterOptions options = {});
+
+  // Starts or restarts the process of an entry and waits until it answers.
+  void StartEntry(Entry& entry);
+  // Waits until an entry is ready for jobs.
+  void WaitReady(Entry& entry);
+
+  // Applies the standard sheet with `queue_limit` through `entry`; returns the
+  // new version.
+  std::uint64_t Apply(Entry& entry, int queue_limit);
+  // As `Apply` in two parts: calls of `TryApply` until the next operation
+  // begins repeat one change, and leave the answer to the test.
+  void BeginOperation() { ++operations_; }
+  Answer TryApply(Entry& entry, int queue_limit);
+  // The version in force at `entry`, or 0.
+  std::uint64_t Version(Entry& entry);
+
+  std::vector<std::string> Reserve(Entry& entry, int count = 1);
+  // The body of a submission under `id`; `task` is used `tasks` times.
+  static Json Job(const std::string& id,
+                  const std::string& kind,
+                  const Json& task,
+                  int tasks = 1);
+  Caller::Pending StartJob(Entry& entry, const Json& job);
+  Answer Submit(Entry& entry, const Json& job);
+
+  // Number of starts by task ("<job id>.<task>"), over all upstreams, from
+  // their own records.
+  std::map<std::string, int> Starts();
+  // Starts of all tasks of the job `id`.
+  int StartsOf(const std::string& id);
+  // Fails the test if any task of a kind that is not idempotent, or any
+  // attempt, was started more than once.
+  void CheckStarts();
+
+  void SetFault(Standin& standin, const Json& fault);
+  Json Stats(const Standin& standin);
+  // Changes members of a listed instance.
+  void List(const Json& instance);
+
+  Caller& caller() { return caller_; }
+  std::vector<std::unique_ptr<Entry>>& entries() { return entries_; }
+  std::vector<Standin>& upstreams() { return upstreams_; }
+  // In front of the upstream of the same index; only with relays.
+  std::vector<Standin>& upstream_relays() { return upstream_relays_; }
+  // In front of the platform, by domain and service; only with relays.
+  std::vector<Standin>& platform_relays() { return platform_relays_; }
+  Standin& kv() { return kv_; }
+  Standin& instances() { return instances_; }
+
+ private:
+  Standin Start(const std::string& program,
+                const std::string& name,
+                std::vector<std::string> arguments = {});
+  Standin StartRelay(const std::string& name, std::uint16_t target);
+  void AddUpstream(const std::string& domain, int index);
+  void AddEntry(const std::string& domain,
+                int index,
+                std::uint16_t kv_port,
+                std::uint16_t instances_port);
+  Json Settings(const Entry& entry,
+                std::uint16_t kv_port,
+                std::uint16_t instances_port) const;
+
+  ClusterOptions options_;
+  TemporaryFolder folder_;
+  Caller caller_;
+  Standin kv_;
+  Standin instances_;
+  std::vector<Standin> upstreams_;
+  std::vector<Standin> upstream_relays_;
+  std::vector<Standin> platform_relays_;
+  std::vector<std::unique_ptr<Entry>> entries_;
+  int operations_ = 0;
+};
+
+}  // namespace jaypick::testing
+
+#endif  // JAYPICK_TESTS_CLUSTER_H_
