--- a/src/dispatch/core.h
+++ b/src/dispatch/core.h
@@ -170,7 +170,7 @@
   DispatcherOptions options_;
   DispatchObserver silent_observer_;
   DispatchObserver& observer_;
-  // Takes what the queue and the pool report to the observer.
+  // Routes violations that queue and pool find to the observer.
   internal::ViolationHandler violation_handler_;
   internal::IdWindow ids_;
   internal::JobTable jobs_;
