Extend the randomised run and its mutants

Cause: eight checks of the run had no mutant that shows that they can fail: bounded answers, closed calls, acceptance of configurations and lists, order of configurations, retry budget, end of a drain and the answer failed. Each has one now. The run also varies the placement policy, counts retries against the budget, makes a change through a freshly started entry after each rollback of the store, and expects all entries to agree on the configuration at the end. Ruled out: a mutant that starts queued tasks of ended jobs, because it reads freed payloads.

--- a/include/jaypick/internal/mutant.h
+++ b/include/jaypick/internal/mutant.h
@@ -30,6 +30,22 @@
   kDrainCutsOff,
   // The incarnation of an id is not compared.
   kIgnoreIncarnation,
+  // Jobs whose attempts are still out are answered with `failed`.
+  kUnknownIsFailed,
+  // Calls that were closed or answered get answers.
+  kAnswerClosedCalls,
+  // Only the first caller that waits for a job is answered.
+  kOneWaiter,
+  // The first configuration stays in force.
+  kKeepFirstConfiguration,
+  // Of two configurations with one version, each entry keeps its own.
+  kCompareVersionOnly,
+  // The first instance list stays in force.
+  kKeepFirstInstances,
+  // Repeated placements take no token.
+  kUnlimitedRetries,
+  // Draining waits for ever.
+  kDrainNeverEnds,
 };
 
 }  // namespace jaypick::internal
--- a/src/dispatch/core.h
+++ b/src/dispatch/core.h
@@ -145,6 +145,7 @@
   void OnOutcome(Task& task, const attempt::Refused& outcome);
   void OnOutcome(Task& task, const attempt::NotSent& outcome);
   void OnOutcome(Task& task, const attempt::Lost& outcome);
+  bool TakeRetryToken();
   void PlaceAgain(Task& task);
   void ReleaseBudgetWaits();
   void Requeue(Task& task);
--- a/src/dispatch/core_attempts.cc
+++ b/src/dispatch/core_attempts.cc
@@ -184,7 +184,7 @@
       job.is_idempotent || Is(internal::Mutant::kRetryAnyKind);
   const bool may_retry =
       may_repeat && task.lost_attempts < options_.retry.attempts;
-  if (may_retry && budget_.TryTake()) {
+  if (may_retry && TakeRetryToken()) {
     Requeue(task);
     return;
   }
@@ -193,8 +193,12 @@
               " was sent and got no valid answer: " + outcome.cause);
 }
 
+bool Dispatcher::Core::TakeRetryToken() {
+  return budget_.TryTake() || Is(internal::Mutant::kUnlimitedRetries);
+}
+
 void Dispatcher::Core::PlaceAgain(Task& task) {
-  if (budget_.TryTake()) {
+  if (TakeRetryToken()) {
     Requeue(task);
     return;
   }
@@ -212,7 +216,7 @@
       budget_waits_.pop_front();
       continue;
     }
-    if (!budget_.TryTake() && !retry_floor_.TryTake(now_)) {
+    if (!TakeRetryToken() && !retry_floor_.TryTake(now_)) {
       return;
     }
     budget_waits_.pop_front();
--- a/src/dispatch/core_control.cc
+++ b/src/dispatch/core_control.cc
@@ -22,7 +22,14 @@
 void Dispatcher::Core::On(ConfigurationOffered& message) {
   const bool is_newer = !configuration_ || OrderOf(message.configuration) >
                                                OrderOf(*configuration_);
-  if (!is_newer && !Is(internal::Mutant::kConfigurationGoesBack)) {
+  const bool is_ignored =
+      configuration_ &&
+      (Is(internal::Mutant::kKeepFirstConfiguration) ||
+       (Is(internal::Mutant::kCompareVersionOnly) &&
+        message.configuration.version() == configuration_->version()));
+  const bool is_taken =
+      is_newer || Is(internal::Mutant::kConfigurationGoesBack);
+  if (!is_taken || is_ignored) {
     return;
   }
   if (!is_newer) {
@@ -53,7 +60,9 @@
 void Dispatcher::Core::On(InstancesOffered& message) {
   const bool is_newer =
       !instances_ || message.list.revision > instances_->revision;
-  if (!is_newer) {
+  const bool is_ignored =
+      instances_ && Is(internal::Mutant::kKeepFirstInstances);
+  if (!is_newer || is_ignored) {
     return;
   }
   instances_ = std::move(message.list);
@@ -88,7 +97,8 @@
 
 void Dispatcher::Core::FinishDrain() {
   const bool is_over =
-      drain_ && !drain_->is_finished && now_ >= drain_->refuse_from &&
+      drain_ && !drain_->is_finished &&
+      !Is(internal::Mutant::kDrainNeverEnds) && now_ >= drain_->refuse_from &&
       ((jobs_.active() == 0 && calls_.empty() && claims_.empty()) ||
        Is(internal::Mutant::kDrainCutsOff));
   if (is_over) {
--- a/src/dispatch/core_jobs.cc
+++ b/src/dispatch/core_jobs.cc
@@ -59,6 +59,9 @@
     return;
   }
   it->second = job.counter;
+  if (!job.waiters.empty() && Is(internal::Mutant::kOneWaiter)) {
+    return;
+  }
   job.waiters.push_back({.call = call, .reserve = reserve});
 }
 
@@ -93,7 +96,8 @@
     return RunState::kNotRun;
   }
   if (job.running > 0 || job.lost > 0) {
-    return RunState::kUnknown;
+    return Is(internal::Mutant::kUnknownIsFailed) ? RunState::kFailed
+                                                  : RunState::kUnknown;
   }
   return job.starts > 0 ? RunState::kFailed : RunState::kNotRun;
 }
@@ -180,7 +184,8 @@
 }
 
 void Dispatcher::Core::Answer(CallId call, CallAnswer answer) {
-  if (calls_.erase(call.value) == 0) {
+  const bool was_open = calls_.erase(call.value) > 0;
+  if (!was_open && !Is(internal::Mutant::kAnswerClosedCalls)) {
     // The caller has gone, or the call had its answer.
     return;
   }
--- a/tests/simulation/entry.cc
+++ b/tests/simulation/entry.cc
@@ -53,6 +53,9 @@
 void Entry::Start() {
   ++life_;
   Random& random = world_.random;
+  const PlacementPolicy policies[] = {
+      RandomPlacement(), RoundRobinPlacement(), LeastOutstandingPlacement(),
+      TwoChoicesPlacement(), ReportedLoadPlacement()};
   world_.witness.Trace(0, name_, "process starts",
                        static_cast<std::int64_t>(life_));
   dispatcher_ = std::make_unique<Dispatcher>(DispatcherOptions{
@@ -60,6 +63,7 @@
       .failure_domain = DomainName(domain_),
       .incarnation = {random.Next()},
       .seed = random.Next(),
+      .placement = {.policy = random.Pick(policies)},
       .reserve_limit = 100,
       .id_window = static_cast<std::size_t>(random.Between(300, 5000)),
       .answer_retention = random.Span(seconds(1), seconds(60)),
@@ -69,6 +73,8 @@
       .mutant = world_.options.mutant});
   has_drained_ = false;
   forwards_ = 0;
+  started_at_ = world_.scheduler.now();
+  first_starts_ = repeated_starts_ = 0;
   list_revision_ = 0;
   wake_at_.reset();
   head_disturbed_at_ = list_disturbed_at_ = world_.scheduler.now();
@@ -216,6 +222,7 @@
 
 void Entry::Perform(StartAttempt& action) {
   world_.witness.OnStartSent(name_, action);
+  CountStart(action);
   if (seen_leaving_.contains(action.upstream)) {
     world_.witness.Fail(action.attempt.job,
                         "a start on an upstream that was shown as leaving");
@@ -226,6 +233,20 @@
               });
 }
 
+void Entry::CountStart(const StartAttempt& start) {
+  ++(start.attempt.attempt == 0 ? first_starts_ : repeated_starts_);
+  const DispatcherOptions& options = dispatcher_->options();
+  const std::chrono::duration<double> age =
+      world_.scheduler.now() - started_at_;
+  const double allowed =
+      options.retry.burst +
+      options.retry.ratio * static_cast<double>(first_starts_) +
+      options.retries_per_second_floor * age.count() + 1;
+  if (static_cast<double>(repeated_starts_) > allowed) {
+    world_.witness.Fail(start.attempt.job, "more retries than the budget");
+  }
+}
+
 // An upstream may answer an abandoned attempt all the same.
 void Entry::Perform(const AbandonAttempt& /*action*/) {}
 
@@ -386,6 +407,12 @@
     world_.witness.Fail(calls_.begin()->second.submission,
                         "a call is left at the end of the run");
   }
+  const Configuration* const in_force = dispatcher_->configuration();
+  const Configuration* const first =
+      world_.entries.front()->dispatcher().configuration();
+  if (in_force == nullptr || first == nullptr || *in_force != *first) {
+    world_.witness.Fail(0, "entries have different configurations at the end");
+  }
   if (dispatcher_->active_jobs() + dispatcher_->queued_tasks() +
           dispatcher_->running_tasks() >
       0) {
--- a/tests/simulation/entry.h
+++ b/tests/simulation/entry.h
@@ -93,6 +93,8 @@
   void Perform(const DrainFinished& action);
   void Claim(const ClaimKey& action, int attempts);
   void FailForward(std::uint64_t call, const JobId& id);
+  // Fails the run if more placements were repeated than the budget allows.
+  void CountStart(const StartAttempt& start);
   void Answer(std::uint64_t call, const CallAnswer& answer);
   void ExitIfDrained();
   void End();
@@ -125,6 +127,9 @@
   std::map<std::uint64_t, PendingCall> calls_;
   std::uint64_t last_call_ = 0;
   std::uint64_t forwards_ = 0;
+  TimePoint started_at_;
+  std::uint64_t first_starts_ = 0;
+  std::uint64_t repeated_starts_ = 0;
   bool has_drained_ = false;
   std::optional<TimePoint> wake_at_;
   TimePoint wake_count_since_;
--- a/tests/simulation/faults.h
+++ b/tests/simulation/faults.h
@@ -22,6 +22,7 @@
   void LeaveUpstream(ListedUpstream& listed);
   void CutLinks();
   void DisturbStore();
+  void RollBackHead();
   void DisturbInstances();
   void LoseMessages();
   void DisturbCallers();
--- a/tests/simulation/witness.cc
+++ b/tests/simulation/witness.cc
@@ -91,6 +91,9 @@
   if (started.was_not_run) {
     Fail(started.number, "a task started after the answer not_run");
   }
+  if (started.was_failed_by_issuer) {
+    Fail(started.number, "a task started after the answer failed");
+  }
   if (start.payload != started.request.tasks[task] ||
       start.kind != started.request.kind) {
     Fail(started.number, "a task started with another payload or kind");
@@ -156,6 +159,7 @@
   }
   if (refusal.run == RunState::kFailed) {
     submission.was_failed = true;
+    submission.was_failed_by_issuer |= refusal.reason != Reason::kIssuerGone;
   }
   // Only the end of the issuing process makes a complete answer unavailable.
   if (refusal.run == RunState::kFailed && submission.completed_as &&
--- a/tests/simulation/witness.h
+++ b/tests/simulation/witness.h
@@ -34,6 +34,8 @@
   std::optional<JobId> completed_as;
   bool was_not_run = false;
   bool was_failed = false;
+  // The issuing process itself said `failed`: it has nothing under way.
+  bool was_failed_by_issuer = false;
   bool has_answer = false;
 };
 
