--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,63 @@
+// jaypickd: one entry instance.
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <event2/event.h>
+
+#include <cstdio>
+#include <exception>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "daemon/kernel.h"
+#include "daemon/log.h"
+#include "daemon/store.h"
+#include "settings/settings.h"
+
+ABSL_FLAG(std::string, settings, "", "file with the settings, in JSON");
+ABSL_FLAG(bool, check, false, "check the settings and exit");
+
+namespace {
+
+constexpr int kFailed = 1;
+constexpr int kInvalid = 2;
+
+int Run(const jaypick::Settings& settings) {
+  using jaypick::daemon::LogEvent;
+  using jaypick::daemon::LogLevel;
+  jaypick::daemon::StartLog(jaypick::daemon::ParseLogLevel(settings.log_level));
+  const std::unique_ptr<event_base, void (*)(event_base*)> base(
+      event_base_new(), event_base_free);
+  try {
+    jaypick::daemon::Kernel kernel(base.get(), settings,
+                                   jaypick::daemon::MakeEtcdStore);
+    LogEvent(LogLevel::kInfo, "started",
+             {{"entry", settings.entry},
+              {"failure_domain", settings.failure_domain}});
+    kernel.Run();
+  } catch (const std::exception& error) {
+    LogEvent(LogLevel::kError, "start_failed", {{"message", error.what()}});
+    return kFailed;
+  }
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage("jaypickd --settings=FILE [--check]");
+  absl::ParseCommandLine(argc, argv);
+  const auto result = jaypick::LoadSettings(absl::GetFlag(FLAGS_settings));
+  if (const auto* const findings = std::get_if<jaypick::Findings>(&result)) {
+    for (const jaypick::Finding& finding : *findings) {
+      std::cerr << jaypick::ToString(finding) << '\n';
+    }
+    return kInvalid;
+  }
+  if (absl::GetFlag(FLAGS_check)) {
+    return 0;
+  }
+  return Run(std::get<jaypick::Settings>(result));
+}
--- /dev/null
+++ b/src/daemon/operator_plug_in.cc
@@ -0,0 +1,143 @@
+// Plug-in `operator_api`: the operators' interface, behind a bearer token.
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "daemon/api_server.h"
+#include "daemon/bearer_token.h"
+#include "daemon/kernel.h"
+#include "daemon/log.h"
+#include "jaypick/operator_api.h"
+
+namespace jaypick::daemon {
+namespace {
+
+using http::Method;
+using http::Request;
+using http::Responder;
+
+constexpr int kUnauthorized = 401;
+
+std::int64_t UnixMilliseconds() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+http::Response ToResponse(OperatorResponse response) {
+  return {.status = response.status,
+          .headers = {},
+          .body = std::move(response.body)};
+}
+
+// Replies may come later, and `std::function` wants something to copy.
+OperatorReply ReplyTo(Responder responder) {
+  auto shared = std::make_shared<Responder>(std::move(responder));
+  return [shared](OperatorResponse response) {
+    shared->Send(ToResponse(std::move(response)));
+  };
+}
+
+class OperatorPlugIn : public ApiServer {
+ public:
+  explicit OperatorPlugIn(Kernel& kernel)
+      : ApiServer(kernel, kernel.settings().operators),
+        kernel_(kernel),
+        token_(BearerToken::Load(kernel.settings().operator_token_file)),
+        api_({.store = &kernel.store(),
+              .in_force = [this] { return InForce(); },
+              .unix_ms = UnixMilliseconds,
+              .on_accepted =
+                  [this](const Configuration& accepted) { Adopt(accepted); }}) {
+    kernel.mailbox().Subscribe<PeerSeen>([this](PeerSeen& message) {
+      peer_versions_[message.entry] = message.configuration_version;
+    });
+    Serve(Method::kPost, "/v1/operator/config/check",
+          [this](const Request& request, Responder responder) {
+            api_.Check(request.body, ReplyTo(std::move(responder)));
+          });
+    Serve(Method::kPost, "/v1/operator/config/apply",
+          [this](const Request& request, Responder responder) {
+            api_.Apply(request.body, ReplyTo(std::move(responder)));
+          });
+    Serve(Method::kGet, "/v1/operator/config",
+          [this](const Request&, Responder responder) {
+            responder.Send(ToResponse(api_.ShowConfiguration()));
+          });
+    Serve(Method::kGet, "/v1/operator/audit",
+          [this](const Request& request, Responder responder) {
+            const auto limit = request.query.find("limit");
+            api_.Audit(limit == request.query.end() ? "" : limit->second,
+                       ReplyTo(std::move(responder)));
+          });
+    Serve(Method::kGet, "/v1/operator/instances",
+          [this](const Request&, Responder responder) {
+            responder.Send(ToResponse(OperatorApi::ShowInstances(View())));
+          });
+  }
+
+ private:
+  using Checked = std::function<void(const Request&, Responder)>;
+
+  // Registers a handler that only requests with the token reach.
+  void Serve(Method method, std::string path, Checked handler) {
+    server().Handle(
+        method, std::move(path),
+        [this, handler = std::move(handler)](const Request& request,
+                                             Responder responder) {
+          if (!token_.IsIn(request.headers)) {
+            LogEvent(LogLevel::kWarning, "operator_refused",
+                     {{"path", request.path}});
+            responder.Send({.status = kUnauthorized,
+                            .headers = {{"WWW-Authenticate", "Bearer"}},
+                            .body = R"({"reason":"unauthorized"})"});
+            return;
+          }
+          handler(request, std::move(responder));
+        });
+  }
+
+  std::optional<Configuration> InForce() const {
+    const Configuration* const in_force = kernel_.dispatcher().configuration();
+    return in_force == nullptr ? std::nullopt : std::optional(*in_force);
+  }
+
+  void Adopt(const Configuration& accepted) {
+    LogEvent(LogLevel::kInfo, "configuration_accepted",
+             {{"version", std::to_string(accepted.version())},
+              {"author", accepted.header().author},
+              {"operation", accepted.header().operation_id}});
+    kernel_.mailbox().Send(
+        Event(ConfigurationOffered{.configuration = accepted}));
+    kernel_.mailbox().Send(ChangeApplied{.configuration = accepted});
+  }
+
+  InstancesView View() const {
+    InstancesView view;
+    if (const InstanceList* const list = kernel_.dispatcher().instances()) {
+      view.list = *list;
+    }
+    view.config_versions = peer_versions_;
+    if (const Configuration* const own = kernel_.dispatcher().configuration()) {
+      view.config_versions[kernel_.settings().entry] = own->version();
+    }
+    view.ejected_upstreams = kernel_.dispatcher().ejected_upstreams();
+    return view;
+  }
+
+  Kernel& kernel_;
+  BearerToken token_;
+  OperatorApi api_;
+  // The version in force at each entry that was heard from.
+  std::map<std::string, std::uint64_t> peer_versions_;
+};
+
+const PluginRegistration kRegistration =
+    Register<OperatorPlugIn>("operator_api");
+
+}  // namespace
+}  // namespace jaypick::daemon
--- /dev/null
+++ b/src/settings/located_json.cc
@@ -0,0 +1,200 @@
+#include "settings/located_json.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "settings/counting_iterator.h"
+
+namespace jaypick {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kSeparators = " \t\r\n:,";
+
+std::string EscapePointer(const std::string& key) {
+  std::string escaped;
+  for (const char character : key) {
+    if (character == '~') {
+      escaped += "~0";
+    } else if (character == '/') {
+      escaped += "~1";
+    } else {
+      escaped += character;
+    }
+  }
+  return escaped;
+}
+
+// Builds the document from the parser's events and notes where each value
+// begins.
+class LocatedReader : public nlohmann::json_sax<json> {
+ public:
+  LocatedReader(std::string_view text, const std::string& source)
+      : text_(text),
+        source_(source),
+        cursor_(text.data()),
+        last_end_(text.data()) {}
+
+  CountingIterator begin() { return {text_.data(), &cursor_}; }
+  CountingIterator end() { return {text_.data() + text_.size(), &cursor_}; }
+  LocatedJson Take() { return std::move(result_); }
+
+  bool null() override { return Scalar(nullptr); }
+  bool boolean(bool value) override { return Scalar(value); }
+  bool number_integer(number_integer_t value) override { return Scalar(value); }
+  bool number_unsigned(number_unsigned_t value) override {
+    return Scalar(value);
+  }
+  bool number_float(number_float_t value, const string_t& /*text*/) override {
+    return Scalar(value);
+  }
+  bool string(string_t& value) override { return Scalar(std::move(value)); }
+  bool binary(binary_t& /*value*/) override { return false; }
+
+  bool start_object(std::size_t /*elements*/) override {
+    return Open(json::object());
+  }
+  bool start_array(std::size_t /*elements*/) override {
+    return Open(json::array());
+  }
+  bool end_object() override { return Close(); }
+  bool end_array() override { return Close(); }
+
+  bool key(string_t& name) override {
+    Level& level = levels_.back();
+    level.key = name;
+    if (level.value->contains(name)) {
+      result_.findings.push_back(
+          {.region = RegionAt(NextBegin()),
+           .key = level.pointer + "/" + EscapePointer(name),
+           .message = "the key occurs twice"});
+    }
+    last_end_ = cursor_;
+    return true;
+  }
+
+  bool parse_error(std::size_t position,
+                   const std::string& /*token*/,
+                   const json::exception& exception) override {
+    std::string message = exception.what();
+    // The region says where; the library's prefix says it again.
+    const std::size_t prefix = message.find(": ");
+    message.erase(0, prefix == std::string::npos ? 0 : prefix + 2);
+    const std::size_t offset =
+        std::min(position == 0 ? 0 : position - 1, text_.size());
+    result_.findings.push_back({.region = RegionAt(text_.data() + offset),
+                                .key = "",
+                                .message = std::move(message)});
+    return false;
+  }
+
+ private:
+  struct Level {
+    json* value = nullptr;
+    std::string pointer;
+    std::string key;
+  };
+
+  const char* NextBegin() const {
+    const char* begin = last_end_;
+    const char* const limit = text_.data() + text_.size();
+    while (begin != limit &&
+           kSeparators.find(*begin) != std::string_view::npos) {
+      ++begin;
+    }
+    return begin;
+  }
+
+  SourceRegion RegionAt(const char* place) const {
+    const std::string_view before(
+        text_.data(), static_cast<std::size_t>(place - text_.data()));
+    const auto lines = std::ranges::count(before, '\n');
+    const std::size_t newline = before.rfind('\n');
+    const std::size_t column = newline == std::string_view::npos
+                                   ? before.size()
+                                   : before.size() - newline - 1;
+    return {.source = source_,
+            .line = static_cast<std::uint32_t>(lines) + 1,
+            .column = static_cast<std::uint32_t>(column) + 1};
+  }
+
+  // Puts `value` where the parser stands; returns the place and its pointer.
+  std::pair<json*, std::string> Place(json value, const char* begin) {
+    json* place = &result_.value;
+    std::string pointer;
+    if (!levels_.empty()) {
+      Level& level = levels_.back();
+      if (level.value->is_array()) {
+        pointer = level.pointer + "/" + std::to_string(level.value->size());
+        level.value->push_back(nullptr);
+        place = &level.value->back();
+      } else {
+        pointer = level.pointer + "/" + EscapePointer(level.key);
+        place = &(*level.value)[level.key];
+      }
+    }
+    *place = std::move(value);
+    result_.regions[pointer] = RegionAt(begin);
+    return {place, pointer};
+  }
+
+  bool Scalar(json value) {
+    const bool is_number = value.is_number();
+    Place(std::move(value), NextBegin());
+    // The lexer reads one character beyond a number.
+    last_end_ = is_number ? cursor_ - 1 : cursor_;
+    return true;
+  }
+
+  bool Open(json value) {
+    auto [place, pointer] = Place(std::move(value), cursor_ - 1);
+    levels_.push_back(
+        {.value = place, .pointer = std::move(pointer), .key = ""});
+    last_end_ = cursor_;
+    return true;
+  }
+
+  bool Close() {
+    levels_.pop_back();
+    last_end_ = cursor_;
+    return true;
+  }
+
+  std::string_view text_;
+  std::string source_;
+  const char* cursor_;
+  const char* last_end_;
+  std::vector<Level> levels_;
+  LocatedJson result_;
+};
+
+}  // namespace
+
+const SourceRegion& LocatedJson::Region(const std::string& pointer) const {
+  static const SourceRegion unknown;
+  std::string place = pointer;
+  while (true) {
+    const auto it = regions.find(place);
+    if (it != regions.end()) {
+      return it->second;
+    }
+    if (place.empty()) {
+      return unknown;
+    }
+    place.resize(place.rfind('/'));
+  }
+}
+
+LocatedJson ParseLocated(std::string_view text, const std::string& source) {
+  LocatedReader reader(text, source);
+  json::sax_parse(reader.begin(), reader.end(), &reader);
+  LocatedJson result = reader.Take();
+  if (result.regions.empty()) {
+    result.regions[""] = {.source = source, .line = 1, .column = 1};
+  }
+  return result;
+}
+
+}  // namespace jaypick
