--- a/src/cli/job_commands.cc
+++ b/src/cli/job_commands.cc
@@ -1,6 +1,7 @@
 // The commands `submit`, `cancel` and `status`.
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <utility>
 #include <variant>
 
@@ -133,25 +134,38 @@
 
  private:
   // Reserves an id. An id whose answer was lost is never used, so every entry
-  // may be asked.
+  // may be asked. An entry that drains or isn't ready is left out as well.
   std::optional<ExitCode> Reserve() {
     const json body = {{"owner", file_.owner}, {"count", 1}};
     while (!entries_.empty()) {
       const auto result = session_.caller().Send(
           entries_.front(), Post("/v1/ids", body.dump()), kShortTimeout);
-      if (const auto* const response = std::get_if<http::Response>(&result)) {
+      const auto* const response = std::get_if<http::Response>(&result);
+      const bool is_last = entries_.size() == 1;
+      if (response != nullptr &&
+          (response->status < kFirstServerError || is_last)) {
         return TakeId(*response);
       }
-      session_.Fail(ExitCode::kUnreachable,
-                    entries_.front().host + ":" +
-                        std::to_string(entries_.front().port) + ": " +
-                        std::get<http::ClientError>(result).message);
+      Report(entries_.front(),
+             response == nullptr
+                 ? std::get<http::ClientError>(result).message
+                 : "no id: " + Text(ParseBody(*response), "reason"));
       entries_.erase(entries_.begin());
     }
     return session_.Fail(ExitCode::kUnreachable,
                          "no entry answered; nothing was submitted");
   }
 
+  // Prints what went wrong at an entry, unless it is what went wrong before.
+  void Report(const Address& entry, const std::string& message) {
+    std::string& last = reported_[entry];
+    if (last != message) {
+      session_.err() << "jaypick: " << entry.host << ":" << entry.port << ": "
+                     << message << '\n';
+    }
+    last = message;
+  }
+
   std::optional<ExitCode> TakeId(const http::Response& response) {
     if (response.status >= kFirstError) {
       return PrintAnswer(session_, response);
@@ -184,9 +198,8 @@
         }
         last = std::move(*response);
       } else {
-        session_.err() << "jaypick: " << entry.host << ":" << entry.port << ": "
-                       << std::get<http::ClientError>(result).message
-                       << "; submitting again as " << id_ << '\n';
+        Report(entry, std::get<http::ClientError>(result).message +
+                          "; submitting again as " + id_);
       }
       session_.caller().Sleep(kPause);
     }
@@ -211,6 +224,7 @@
   JobFile file_;
   std::vector<Address> entries_;
   std::string id_;
+  std::map<Address, std::string> reported_;
 };
 
 // Prints what is wrong with the flags of a command about one job.
--- a/src/cli/operator_commands.cc
+++ b/src/cli/operator_commands.cc
@@ -73,10 +73,13 @@
                     << "; from it the sheet would change:\n"
                     << Text(diff, "text");
     }
-    session.Fail(ExitCode::kRefused, "refused with status " +
-                                         std::to_string(response.status) +
-                                         ": " + Text(body, "reason") + " " +
-                                         body.value("message", ""));
+    std::string message = "refused with status ";
+    message += std::to_string(response.status);
+    message += ": " + Text(body, "reason");
+    if (body.contains("message")) {
+      message += ": " + Text(body, "message");
+    }
+    session.Fail(ExitCode::kRefused, message);
   }
   const bool is_invalid =
       response.status == kBadRequest || response.status == kUnprocessable;
--- a/src/cli/session.cc
+++ b/src/cli/session.cc
@@ -2,6 +2,7 @@
 
 #include <fstream>
 #include <iterator>
+#include <sstream>
 #include <utility>
 #include <variant>
 
@@ -18,9 +19,11 @@
   return address.host + ":" + std::to_string(address.port);
 }
 
-// The first line of a token file.
-std::string FirstLine(const std::string& text) {
-  return text.substr(0, text.find_first_of("\r\n"));
+// The first word of a token file, as jaypickd reads it.
+std::string FirstWord(const std::string& text) {
+  std::string word;
+  std::istringstream(text) >> word;
+  return word;
 }
 
 }  // namespace
@@ -71,7 +74,7 @@
 
 std::optional<http::Response> Session::SendToOperators(http::Request request) {
   const std::string token =
-      FirstLine(ReadFile(arguments_.token_file).value_or(""));
+      FirstWord(ReadFile(arguments_.token_file).value_or(""));
   request.headers.push_back(
       {.name = "Authorization", .value = "Bearer " + token});
   return SendToAny(arguments_.operators, request, kOperatorTimeout);
--- a/tests/cli_test.cc
+++ b/tests/cli_test.cc
@@ -182,6 +182,18 @@
   cr_assert(json::parse(outcome.out)["results"].size() == 2);
 }
 
+// Guards against a draining entry that ends the command while others are ready.
+Test(cli, submit_leaves_a_draining_entry_out) {
+  const json refusal = {{"run", "not_run"}, {"reason", "draining"}};
+  ScriptedEntry draining({Reply{503, refusal}});
+  ScriptedEntry ready({kReserved, kComplete});
+  const TemporaryFile job("job.json", kJob);
+  const auto outcome =
+      Run({"submit", job.path, draining.flag("entry"), ready.flag("entry")});
+  cr_assert(outcome.code == ExitCode::kOk, "%s", outcome.err.c_str());
+  cr_assert(draining.exchanges().size() == 1);
+}
+
 // Guards against exit codes that differ from the documented ones.
 Test(cli, exit_codes_tell_refused_invalid_and_unreachable) {
   const TemporaryFile job("job.json", kJob);
