--- a/src/daemon/api_server.h
+++ b/src/daemon/api_server.h
@@ -2,7 +2,12 @@
 #ifndef JAYPICK_DAEMON_API_SERVER_H_
 #define JAYPICK_DAEMON_API_SERVER_H_
 
+#include <string>
+#include <string_view>
+
+#include "daemon/api_answer.h"
 #include "daemon/kernel.h"
+#include "daemon/log.h"
 #include "http/server.h"
 
 namespace jaypick::daemon {
@@ -10,14 +15,20 @@
 // Owns a server, and closes it gracefully when the process drains.
 class ApiServer : public PlugIn {
  public:
-  ApiServer(Kernel& kernel, const Address& address)
+  ApiServer(Kernel& kernel, std::string_view interface, const Address& address)
       : server_(kernel.base(),
                 {.address = address,
                  .body_limit_bytes = kernel.settings().body_limit_bytes,
+                 .on_oversize_body =
+                     OversizeAnswer(kernel.settings().body_limit_bytes),
                  .connection_limit = kernel.settings().connection_limit}) {
     // From the start of a drain, kept connections move to other entries.
     kernel.mailbox().Subscribe<ShutdownRequested>(
         [this](ShutdownRequested&) { server_.CloseAfterAnswers(); });
+    LogEvent(LogLevel::kInfo, "listening",
+             {{"interface", std::string(interface)},
+              {"host", address.host},
+              {"port", std::to_string(server_.port())}});
   }
 
   void StopAccepting() override { server_.StopAccepting(); }
