--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -27,6 +27,10 @@
 
 jaypick_optional_library(jaypick_configuration FOLDERS configuration LINK
   jaypick_core nlohmann_json::nlohmann_json ${CSV_LIBRARY} PkgConfig::ICU)
+# GCC 12 takes parts of std::regex, which valijson uses, for uninitialised once
+# the sanitizers instrument them (GCC bug 105562).
+set_source_files_properties(src/settings/schema.cc PROPERTIES
+  COMPILE_OPTIONS -Wno-maybe-uninitialized)
 jaypick_optional_library(jaypick_settings FOLDERS settings LINK
   jaypick_core nlohmann_json::nlohmann_json)
 jaypick_optional_library(jaypick_http FOLDERS http LINK
@@ -35,9 +39,11 @@
   jaypick_http jaypick_configuration absl::strings)
 jaypick_optional_library(jaypick_daemon FOLDERS daemon LINK
   jaypick_platform jaypick_settings jaypick_easylogging prometheus-cpp::core
-  absl::flags absl::flags_parse)
+  PkgConfig::OPENSSL absl::flags absl::flags_parse)
 jaypick_optional_library(jaypick_cli FOLDERS cli LINK
-  jaypick_http jaypick_configuration absl::flags absl::flags_parse)
+  jaypick_http jaypick_configuration absl::flags absl::flags_reflection)
+target_compile_definitions(jaypick_cli PRIVATE
+                           JAYPICK_VERSION="${PROJECT_VERSION}")
 
 # Object libraries do not hand on their objects; programs list what they use.
 set(JAYPICK_CORE_OBJECTS jaypick_core)
@@ -95,12 +101,27 @@
   target_link_libraries(example_${name} PRIVATE jaypick_core)
 endforeach()
 
+# The randomised run: used by the tests and by a program of its own.
+file(GLOB SIMULATION_SOURCES CONFIGURE_DEPENDS tests/simulation/*.cc)
+list(FILTER SIMULATION_SOURCES EXCLUDE REGEX "/soak_main\\.cc$")
+add_library(jaypick_simulation OBJECT ${SIMULATION_SOURCES})
+target_include_directories(jaypick_simulation PUBLIC ${CMAKE_SOURCE_DIR})
+target_link_libraries(jaypick_simulation PUBLIC jaypick_core)
+add_executable(jaypick-soak tests/simulation/soak_main.cc)
+target_link_libraries(jaypick-soak PRIVATE jaypick_simulation jaypick_core
+                      absl::flags absl::flags_parse)
+
 # Tests: tests/<feature>_test.cc, all in one runner.
 file(GLOB TEST_SOURCES CONFIGURE_DEPENDS tests/*.cc)
 if(TEST_SOURCES)
   add_executable(jaypick_tests ${TEST_SOURCES})
   target_include_directories(jaypick_tests PRIVATE ${CMAKE_SOURCE_DIR})
   target_link_libraries(jaypick_tests PRIVATE PkgConfig::CRITERION ${JAYPICK_ALL}
+                        jaypick_cli
+                        jaypick_simulation
                         $<TARGET_NAME_IF_EXISTS:jaypick_standins>
                         $<TARGET_NAME_IF_EXISTS:jaypick_bench_code>)
+  if(JAYPICK_SANITIZE)
+    target_compile_definitions(jaypick_tests PRIVATE JAYPICK_SANITIZED)
+  endif()
 endif()
--- /dev/null
+++ b/src/daemon/bearer_token.cc
@@ -0,0 +1,40 @@
+#include "daemon/bearer_token.h"
+
+#include <openssl/crypto.h>
+
+#include <fstream>
+#include <stdexcept>
+#include <string_view>
+
+namespace jaypick::daemon {
+namespace {
+
+constexpr std::string_view kScheme = "Bearer ";
+
+}  // namespace
+
+BearerToken BearerToken::Load(const std::string& path) {
+  std::ifstream file(path);
+  std::string token;
+  // Reads one word, which leaves out white space at both ends.
+  file >> token;
+  if (token.size() < kShortestBytes) {
+    throw std::runtime_error("token file " + path + ": cannot be read or has " +
+                             "less than " + std::to_string(kShortestBytes) +
+                             " bytes");
+  }
+  return BearerToken(std::move(token));
+}
+
+bool BearerToken::IsIn(const std::vector<http::Header>& headers) const {
+  const auto value = http::FindHeader(headers, "Authorization");
+  if (!value || !value->starts_with(kScheme)) {
+    return false;
+  }
+  const std::string_view offered = value->substr(kScheme.size());
+  // The length is no secret; equal lengths are compared in constant time.
+  return offered.size() == token_.size() &&
+         CRYPTO_memcmp(offered.data(), token_.data(), token_.size()) == 0;
+}
+
+}  // namespace jaypick::daemon
--- a/src/dispatch/core_control.cc
+++ b/src/dispatch/core_control.cc
@@ -1,25 +1,42 @@
 // Configuration, membership and draining.
 #include <algorithm>
 #include <map>
+#include <tuple>
 #include <utility>
 
 #include "dispatch/core.h"
 
 namespace jaypick {
 
+namespace {
+
+// Two changes can get the same version when the platform's service restarts
+// with an older head. Then all entries keep the one that was accepted later.
+auto OrderOf(const Configuration& configuration) {
+  const ConfigurationHeader& header = configuration.header();
+  return std::tie(header.version, header.created_unix_ms, header.digest);
+}
+
+}  // namespace
+
 void Dispatcher::Core::On(ConfigurationOffered& message) {
-  const bool is_newer = !configuration_ || message.configuration.version() >
-                                               configuration_->version();
-  if (!is_newer && !Is(internal::Mutant::kConfigurationGoesBack)) {
+  const bool is_newer = !configuration_ || OrderOf(message.configuration) >
+                                               OrderOf(*configuration_);
+  const bool is_ignored =
+      configuration_ &&
+      (Is(internal::Mutant::kKeepFirstConfiguration) ||
+       (Is(internal::Mutant::kCompareVersionOnly) &&
+        message.configuration.version() == configuration_->version()));
+  const bool is_taken =
+      is_newer || Is(internal::Mutant::kConfigurationGoesBack);
+  if (!is_taken || is_ignored) {
     return;
   }
-  const std::uint64_t old_version =
-      configuration_ ? configuration_->version() : 0;
-  configuration_ = std::move(message.configuration);
-  if (configuration_->version() <= old_version) {
-    Violation("a configuration version never decreases",
-              std::to_string(configuration_->version()));
+  if (!is_newer) {
+    Violation("a configuration never goes back",
+              std::to_string(message.configuration.version()));
   }
+  configuration_ = std::move(message.configuration);
   catalogue_.Apply(*configuration_, [this](const std::string& service) {
     return pool_.InternService(service);
   });
@@ -43,7 +60,9 @@
 void Dispatcher::Core::On(InstancesOffered& message) {
   const bool is_newer =
       !instances_ || message.list.revision > instances_->revision;
-  if (!is_newer) {
+  const bool is_ignored =
+      instances_ && Is(internal::Mutant::kKeepFirstInstances);
+  if (!is_newer || is_ignored) {
     return;
   }
   instances_ = std::move(message.list);
@@ -78,7 +97,8 @@
 
 void Dispatcher::Core::FinishDrain() {
   const bool is_over =
-      drain_ && !drain_->is_finished && now_ >= drain_->refuse_from &&
+      drain_ && !drain_->is_finished &&
+      !Is(internal::Mutant::kDrainNeverEnds) && now_ >= drain_->refuse_from &&
       ((jobs_.active() == 0 && calls_.empty() && claims_.empty()) ||
        Is(internal::Mutant::kDrainCutsOff));
   if (is_over) {
--- a/src/dispatch/core_jobs.cc
+++ b/src/dispatch/core_jobs.cc
@@ -1,4 +1,5 @@
 // Lives of jobs: admission to answer.
+#include <algorithm>
 #include <utility>
 
 #include "dispatch/core.h"
@@ -52,8 +53,16 @@
 }
 
 void Dispatcher::Core::AddWaiter(Job& job, CallId call, std::uint32_t reserve) {
+  const auto it = calls_.find(call.value);
+  if (it == calls_.end()) {
+    // The caller has gone while its key was claimed.
+    return;
+  }
+  it->second = job.counter;
+  if (!job.waiters.empty() && Is(internal::Mutant::kOneWaiter)) {
+    return;
+  }
   job.waiters.push_back({.call = call, .reserve = reserve});
-  calls_[call.value] = job.counter;
 }
 
 void Dispatcher::Core::CompleteJob(Job& job) {
@@ -87,7 +96,8 @@
     return RunState::kNotRun;
   }
   if (job.running > 0 || job.lost > 0) {
-    return RunState::kUnknown;
+    return Is(internal::Mutant::kUnknownIsFailed) ? RunState::kFailed
+                                                  : RunState::kUnknown;
   }
   return job.starts > 0 ? RunState::kFailed : RunState::kNotRun;
 }
@@ -142,9 +152,7 @@
   // the same refusal, which keeps `not_run` true.
   ids_.Close(counter, refusal.run, refusal.reason);
   refusal.id = IdOf(counter);
-  const std::uint32_t reserve =
-      std::min(request.reserve, options_.reserve_limit);
-  refusal.next_ids = IssueIds(ids_.Find(counter)->owner, reserve);
+  refusal.next_ids = IssueIds(ids_.Find(counter)->owner, request.reserve);
   observer_.OnRefused(request.owner, request.kind, refusal);
   Answer(call, std::move(refusal));
 }
@@ -155,6 +163,9 @@
   if (is_draining()) {
     return ids;
   }
+  // A resubmission is not checked like a first one, so the limit is applied
+  // here, where every caller passes.
+  count = std::min(count, options_.reserve_limit);
   ids.reserve(count);
   while (ids.size() < count) {
     const auto counter = ids_.Issue(owner);
@@ -173,7 +184,8 @@
 }
 
 void Dispatcher::Core::Answer(CallId call, CallAnswer answer) {
-  if (calls_.erase(call.value) == 0) {
+  const bool was_open = calls_.erase(call.value) > 0;
+  if (!was_open && !Is(internal::Mutant::kAnswerClosedCalls)) {
     // The caller has gone, or the call had its answer.
     return;
   }
