--- a/src/placement/upstream_list.cc
+++ b/src/placement/upstream_list.cc
@@ -208,4 +208,9 @@
   return number;
 }
 
+std::optional<ServiceNumber> UpstreamPool::FindService(
+    const std::string& service) const {
+  return service_names_.Find(service);
+}
+
 }  // namespace jaypick::internal
