--- a/src/daemon/api_server.h
+++ b/src/daemon/api_server.h
@@ -22,6 +22,7 @@
 
   void StopAccepting() override { server_.StopAccepting(); }
   std::size_t open_calls() const override { return server_.open_calls(); }
+  std::uint16_t port() const override { return server_.port(); }
 
   http::Server& server() { return server_; }
 
--- a/src/daemon/kernel.cc
+++ b/src/daemon/kernel.cc
@@ -58,6 +58,12 @@
   end_check_ = event_new(base_, -1, EV_PERSIST, &Kernel::OnEndCheck, this);
   for (const auto& [name, plug_in] : plug_ins_) {
     plug_in->Start();
+    // With port 0 in the settings, nothing else tells which port it became.
+    if (plug_in->port() != 0) {
+      LogEvent(
+          LogLevel::kInfo, "listening",
+          {{"interface", name}, {"port", std::to_string(plug_in->port())}});
+    }
   }
 }
 
--- a/src/daemon/plug_in.h
+++ b/src/daemon/plug_in.h
@@ -3,6 +3,7 @@
 #define JAYPICK_DAEMON_PLUG_IN_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -27,6 +28,9 @@
   // Calls whose answers have not been written completely. The process does not
   // end before all plug-ins report 0.
   virtual std::size_t open_calls() const { return 0; }
+
+  // The bound port of a plug-in that serves, or 0.
+  virtual std::uint16_t port() const { return 0; }
 };
 
 using PlugInFactory = std::function<std::unique_ptr<PlugIn>(Kernel&)>;
