--- a/tests/simulation/entry_platform.cc
+++ b/tests/simulation/entry_platform.cc
@@ -119,14 +119,15 @@
     list = *dispatcher_->instances();
   }
   world_.Send(domain_, peer.domain(), [&peer, configuration, list] {
-    peer.Post(peer.life(), [&peer, configuration, list] {
-      if (configuration) {
+    const std::uint64_t life = peer.life();
+    if (configuration) {
+      peer.Post(life, [&peer, configuration] {
         peer.Handle(ConfigurationOffered{*configuration});
-      }
-      if (list) {
-        peer.OnInstances(*list);
-      }
-    });
+      });
+    }
+    if (list) {
+      peer.Post(life, [&peer, list] { peer.OnInstances(*list); });
+    }
   });
 }
 
