Let clang-tidy read the flags of the settings schema check

The option -Wno-maybe-uninitialized of src/settings/schema.cc made the lint run fail, because clang-tidy takes GCC's command line and reports options that it does not know. The file now also has -Wno-unknown-warning-option, which GCC ignores. A pragma in the file was ruled out earlier for the sanitizer build.

Verified: clang-tidy passes on the file, and it compiles with the release and sanitize presets.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -28,9 +28,10 @@
 jaypick_optional_library(jaypick_configuration FOLDERS configuration LINK
   jaypick_core nlohmann_json::nlohmann_json ${CSV_LIBRARY} PkgConfig::ICU)
 # GCC 12 takes parts of std::regex, which valijson uses, for uninitialised once
-# the sanitizers instrument them (GCC bug 105562).
+# the sanitizers instrument them (GCC bug 105562). clang-tidy reads the same
+# command line and does not know GCC's warning.
 set_source_files_properties(src/settings/schema.cc PROPERTIES
-  COMPILE_OPTIONS -Wno-maybe-uninitialized)
+  COMPILE_OPTIONS "-Wno-unknown-warning-option;-Wno-maybe-uninitialized")
 jaypick_optional_library(jaypick_settings FOLDERS settings LINK
   jaypick_core nlohmann_json::nlohmann_json)
 jaypick_optional_library(jaypick_http FOLDERS http LINK
