--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -64,6 +64,10 @@
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage("jaypickd --settings=FILE [--check]");
   absl::ParseCommandLine(argc, argv);
+  if (absl::GetFlag(FLAGS_settings).empty()) {
+    std::cerr << "jaypickd: --settings=FILE is missing\n";
+    return kInvalid;
+  }
   const auto result = jaypick::LoadSettings(absl::GetFlag(FLAGS_settings));
   if (const auto* const findings = std::get_if<jaypick::Findings>(&result)) {
     for (const jaypick::Finding& finding : *findings) {
--- a/src/daemon/platform_client.cc
+++ b/src/daemon/platform_client.cc
@@ -7,13 +7,15 @@
 #include "daemon/log.h"
 #include "daemon/poller.h"
 #include "jaypick/configuration_codec.h"
+#include "jaypick/configuration_head.h"
 #include "jaypick/key_value_store.h"
 #include "platform/key_claims.h"
 
 namespace jaypick::daemon {
 namespace {
 
-constexpr const char* kHeadKey = "jaypick/config/head";
+// The value is read again after this many polls even if its revision is known.
+constexpr unsigned kPollsPerValue = 30;
 // The dispatcher divides the rate among the entries; here it has no effect.
 constexpr double kUnlimited = 1e9;
 
@@ -43,7 +45,7 @@
     }
     is_polling_ = true;
     kernel_.store().Range(
-        {.key = kHeadKey, .range_end = "", .keys_only = true},
+        {.key = std::string(kHeadKey), .range_end = "", .keys_only = true},
         [this](const StoreResult<RangeResult>& result) { OnRevision(result); });
   }
 
@@ -53,14 +55,21 @@
     if (range == nullptr) {
       LogEvent(LogLevel::kWarning, "configuration_unreadable",
                {{"message", std::get<StoreError>(result).message}});
+      // The service may come back from an older copy and give a revision that
+      // is known here to another value.
+      known_revision_ = 0;
+    } else if (range->revision < store_revision_ ||
+               ++polls_since_value_ >= kPollsPerValue) {
+      known_revision_ = 0;
     }
+    store_revision_ = range == nullptr ? 0 : range->revision;
     if (range == nullptr || range->values.empty() ||
         range->values.front().mod_revision == known_revision_) {
       is_polling_ = false;
       return;
     }
     kernel_.store().Range(
-        {.key = kHeadKey, .range_end = ""},
+        {.key = std::string(kHeadKey), .range_end = ""},
         [this](const StoreResult<RangeResult>& value) { OnValue(value); });
   }
 
@@ -73,6 +82,7 @@
     const KeyValue& head = range->values.front();
     auto decoded = DecodeConfiguration(head.value, kHeadKey);
     known_revision_ = head.mod_revision;
+    polls_since_value_ = 0;
     if (auto* const findings = std::get_if<Findings>(&decoded)) {
       LogEvent(LogLevel::kError, "configuration_invalid",
                {{"message", ToString(findings->front())}});
@@ -106,7 +116,10 @@
   Kernel& kernel_;
   platform::KeyClaims claims_;
   Poller poller_;
+  // Revision of the head's value that was read last, 0: read it again.
   std::int64_t known_revision_ = 0;
+  std::int64_t store_revision_ = 0;
+  unsigned polls_since_value_ = 0;
   bool is_polling_ = false;
 };
 
--- a/tests/daemon_test.cc
+++ b/tests/daemon_test.cc
@@ -4,6 +4,8 @@
 #include <string>
 
 #include "jaypick/configuration_codec.h"
+#include "jaypick/configuration_head.h"
+#include "platform/etcd_client.h"
 #include "tests/daemon_rig.h"
 
 namespace jaypick {
@@ -222,6 +224,49 @@
           503, "\"run\":\"unknown\",\"reason\":\"issuer_unreachable\""));
 }
 
+// Guards against a job that ends, or a process that does, when its caller goes.
+Test(daemon, job_goes_on_without_its_caller) {
+  DaemonRig rig({});
+  const std::string id = rig.Reserve(0);
+  const std::string body = DaemonRig::Job(Id(id), R"([{"run_ms":200}])");
+  {
+    const testing::RawClient caller(
+        rig.loop, rig.caller(0),
+        "POST /v1/jobs HTTP/1.1\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body);
+    cr_assert(rig.loop.RunUntil(
+        [&] { return rig.entries[0]->dispatcher().running_tasks() == 1; }));
+  }
+  const auto answer = rig.Get(rig.caller(0), "/v1/jobs/" + id,
+                              {{"owner", "o"}, {"wait", "true"}});
+  cr_assert(Has(answer, 200, "complete"));
+}
+
+// Guards against a new head that is never read because the service, rolled back
+// to an older copy, gives it a revision that an earlier head had.
+Test(daemon, reads_head_with_repeated_revision) {
+  DaemonRig rig({});
+  const auto version = [&] {
+    return rig.entries[0]->dispatcher().configuration()->version();
+  };
+  platform::EtcdClient store(&rig.client,
+                             {.endpoints = {{"127.0.0.1", rig.kv.port()}}});
+  const auto put = [&](std::uint64_t number) {
+    const Configuration head = MakeConfiguration(
+        {.version = number, .author = "a", .operation_id = "o", .digest = ""},
+        rig.entries[0]->dispatcher().configuration()->content());
+    store.Txn({.success = {PutRequest{.key = std::string(kHeadKey),
+                                      .value = EncodeConfiguration(head)}}},
+              [](const StoreResult<TxnResult>&) {});
+  };
+  rig.kv.Control("/snapshot", {});
+  put(2);
+  cr_assert(rig.loop.RunUntil([&] { return version() == 2; }));
+  rig.kv.Control("/rollback", {});
+  put(3);
+  cr_assert(rig.loop.RunUntil([&] { return version() == 3; }));
+}
+
 // Guards against callers that reach the operators' interface.
 Test(daemon, operators_need_the_token) {
   DaemonRig rig({});
