Give tasks that may run once only more time, and learn from timeouts

Cause: process tests showed that a task of a kind that is not idempotent, declared at 50 ms, was cut off as task_outcome_unknown after 2 s, although a few tasks last several seconds; and since only successes taught run times, a kind declared ten times too short could time out on every attempt for ever. Timeouts now count as run times, and kinds that may run once only have a floor of 10 s. Ruled out: waiting until the deadline, because a connection that goes silent would then hold a task for up to 60 s (process_platform/silent_upstream_connections_are_replaced ran 20 s). A refusal for lack of time no longer holds back the upstream. Conclusion: slow bookings complete, silent connections stay bounded.

--- a/include/jaypick/dispatcher.h
+++ b/include/jaypick/dispatcher.h
@@ -70,8 +70,11 @@
   Duration answer_retention = std::chrono::seconds(60);
   // Bytes of kept answers; the oldest go first.
   std::size_t answer_bytes_limit = std::size_t{64} * 1024 * 1024;
-  // Shortest attempt timeout, and its multiple of the learned p99 run time.
+  // Shortest attempt timeout of idempotent kinds and of the others, and the
+  // multiple of the learned p99 run time above it. It bounds how long a silent
+  // connection holds a task; a few tasks take several seconds.
   Duration shortest_attempt_timeout = std::chrono::seconds(2);
+  Duration shortest_only_attempt_timeout = std::chrono::seconds(10);
   double attempt_timeout_factor = 8;
   // Repeated placements per second that are allowed without a token, so that
   // tasks that were refused do not wait for new load to earn tokens.
--- a/src/dispatch/core.h
+++ b/src/dispatch/core.h
@@ -154,6 +154,7 @@
   void Start(Task& task, internal::UpstreamNumber upstream);
   void CheckStart(const Task& task, internal::UpstreamNumber upstream);
   internal::PlacementRequest RequestFor(internal::KindNumber kind) const;
+  TimePoint AttemptTimeoutAt(const Job& job) const;
   Duration AttemptTimeoutOf(internal::KindNumber kind) const;
 
   // Configuration, membership, draining (core_control.cc).
--- a/src/dispatch/core_attempts.cc
+++ b/src/dispatch/core_attempts.cc
@@ -20,9 +20,16 @@
     return AttemptEnd::kFailed;
   }
   AttemptEnd operator()(const attempt::Refused& refused) const {
-    return refused.cause == attempt::RefusalCause::kLeaving
-               ? AttemptEnd::kLeaving
-               : AttemptEnd::kBusy;
+    switch (refused.cause) {
+      case attempt::RefusalCause::kLeaving:
+        return AttemptEnd::kLeaving;
+      case attempt::RefusalCause::kDeadline:
+        // The job had no time left, which says nothing about the upstream.
+        return AttemptEnd::kAbandoned;
+      case attempt::RefusalCause::kBusy:
+        break;
+    }
+    return AttemptEnd::kBusy;
   }
   AttemptEnd operator()(const attempt::NotSent&) const {
     return AttemptEnd::kNotSent;
@@ -90,6 +97,10 @@
                                                  .task = timer.task,
                                                  .attempt = timer.attempt},
                                      .upstream = pool_.name(task.upstream)});
+  // The task runs at least this long, as far as anybody knows. Without the
+  // sample, a kind whose declared run time is far too short would time out on
+  // every attempt and never learn.
+  catalogue_.Record(job->kind, now_ - task.started);
   EndAttempt(task, attempt::Lost{.cause = "no answer within the timeout"},
              std::nullopt);
 }
@@ -276,9 +287,8 @@
   ++job.running;
   ++job.starts;
   ++running_;
-  // After the deadline nobody waits for the attempt, so its slot is given back.
   timers_.Add(
-      std::min(now_ + AttemptTimeoutOf(job.kind), job.deadline),
+      AttemptTimeoutAt(job),
       internal::AttemptTimeout{
           .counter = job.counter, .task = task.index, .attempt = id.attempt});
   const Kind& kind = catalogue_.entry(job.kind).kind;
@@ -315,12 +325,22 @@
           .is_idempotent = entry.kind.idempotent};
 }
 
+TimePoint Dispatcher::Core::AttemptTimeoutAt(const Job& job) const {
+  // A task that may not run again has longer: a slow answer still completes the
+  // job, while an early timeout could only lose it.
+  const Duration shortest = job.is_idempotent
+                                ? options_.shortest_attempt_timeout
+                                : options_.shortest_only_attempt_timeout;
+  const Duration timeout = std::max(shortest, AttemptTimeoutOf(job.kind));
+  // After the deadline nobody waits for an attempt, so its slot is given back.
+  return std::min(now_ + timeout, job.deadline);
+}
+
 Duration Dispatcher::Core::AttemptTimeoutOf(internal::KindNumber kind) const {
   const double multiple =
       options_.attempt_timeout_factor *
       static_cast<double>(catalogue_.entry(kind).run_time.p99().count());
-  return std::max(options_.shortest_attempt_timeout,
-                  Duration(static_cast<Duration::rep>(multiple)));
+  return Duration(static_cast<Duration::rep>(multiple));
 }
 
 }  // namespace jaypick
--- a/tests/dispatcher_test.cc
+++ b/tests/dispatcher_test.cc
@@ -164,6 +164,46 @@
   cr_assert(RefusalOf(rig).reason == Reason::kDeadlineExceeded);
 }
 
+// Guards against a slow task of a kind that may run once only being given up
+// before its deadline, which would make a good answer unknown.
+Test(dispatcher, non_idempotent_task_has_time_for_a_slow_answer) {
+  DispatcherRig rig;
+  DispatcherRig::MakeReady(rig, 1);
+  rig.Submit(rig.MakeRequest(rig.Reserve(), 1));
+  const auto start = rig.Of<StartAttempt>().at(0);
+  rig.Advance(milliseconds(4900));
+  cr_assert(rig.actions.empty());
+  rig.End(start, attempt::Succeeded{"1"});
+  cr_assert(std::holds_alternative<CompleteAnswer>(
+      rig.Of<AnswerCall>().at(0).answer));
+}
+
+// Guards against a kind whose declared run time is far too short and whose
+// attempts therefore all time out: timeouts count as run times.
+Test(dispatcher, attempt_timeouts_follow_run_times) {
+  DispatcherRig rig;
+  DispatcherRig::MakeReady(rig, 3);
+  JobRequest request = rig.MakeRequest(rig.Reserve(), 1, "match-wig");
+  request.timeout = seconds(30);
+  rig.Submit(request);
+  const TimePoint began = rig.now;
+  std::vector<StartAttempt> starts = rig.Of<StartAttempt>();
+  // The second attempt, started after 2 s, succeeds 9 s later.
+  while (rig.now < began + seconds(30)) {
+    rig.Advance(milliseconds(100));
+    for (const StartAttempt& start : rig.Of<StartAttempt>()) {
+      starts.push_back(start);
+    }
+    cr_assert(rig.Of<AnswerCall>().empty());
+    if (starts.size() == 2 && rig.now > began + seconds(11)) {
+      break;
+    }
+  }
+  rig.End(starts.at(1), attempt::Succeeded{"1"});
+  cr_assert(std::holds_alternative<CompleteAnswer>(
+      rig.Of<AnswerCall>().at(0).answer));
+}
+
 // Guards against untruthful answers for ids of other processes.
 Test(dispatcher, ids_of_other_processes) {
   DispatcherRig rig;
--- a/tests/process_platform_test.cc
+++ b/tests/process_platform_test.cc
@@ -285,11 +285,13 @@
   cluster.SetFault(cluster.upstream_relays()[0], {{"silence_open", true}});
   const Answer safe_answer = cluster.caller().Wait(safe);
   cr_assert_eq(safe_answer.status, 200, "%s", Text(safe_answer).c_str());
+  // The attempt timeout is 2 s for runs of this length.
+  cr_assert_leq(SecondsSince(silent_at), 6.0);
   const Answer once_answer = cluster.caller().Wait(once);
   cr_assert(once_answer.body.value("run", "") == "unknown", "%s",
             Text(once_answer).c_str());
-  // The attempt timeout is 2 s for runs of this length.
-  cr_assert_leq(SecondsSince(silent_at), 6.0);
+  // It is 10 s for a kind that may run once only.
+  cr_assert_leq(SecondsSince(silent_at), 14.0);
   const Answer next =
       cluster.Submit(entry, Cluster::Job(ids[2], "once", kShort));
   cr_assert_eq(next.status, 200, "%s", Text(next).c_str());
