Build all programs with sanitizers before the tests run them

Cause: in a fresh clone, make check failed in 22 process tests of the sanitizer run, because only the test runner was built there and the tests start programs from their own build folder. Ruled out: skipping the process tests under sanitizers, which would hide faults of the daemon. The run-time estimator now takes p99 from the newest 512 run times instead of a histogram of its own, and queries and cancellations share one lookup.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 sanitize: install
 	@cmake --preset sanitize > /dev/null
-	@cmake --build --preset sanitize -- -j $(JOBS) jaypick_tests
+	@cmake --build --preset sanitize -- -j $(JOBS)
 
 format:
 	@tools/format.sh
--- a/include/jaypick/internal/run_time_estimator.h
+++ b/include/jaypick/internal/run_time_estimator.h
@@ -2,10 +2,11 @@
 #ifndef JAYPICK_INTERNAL_RUN_TIME_ESTIMATOR_H_
 #define JAYPICK_INTERNAL_RUN_TIME_ESTIMATOR_H_
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 
+#include <boost/circular_buffer.hpp>
+
 #include "jaypick/time.h"
 
 namespace jaypick::internal {
@@ -18,7 +19,8 @@
  public:
   explicit RunTimeEstimator(Duration declared);
 
-  // Records the run time of one attempt that succeeded.
+  // Records the run time of one attempt that succeeded, or the time after which
+  // one was given up.
   void Record(Duration run_time);
 
   Duration mean() const;
@@ -28,21 +30,19 @@
   // True if enough samples were seen to forget the declared run time.
   bool is_learned() const;
 
-  // Buckets of the histogram: eight to the doubling, from 64 us to over 100 s.
-  static constexpr std::size_t kBuckets = 168;
+  // Newest run times that p99 is taken from.
+  static constexpr std::size_t kWindow = 512;
   // Samples after which the declared run time is less than 5% of the mean.
   static constexpr std::uint64_t kLearnedSamples = 6;
 
  private:
-  void RecordInHistogram(Duration run_time);
   Duration ReadP99() const;
 
   Duration mean_;
   Duration p99_;
   double mean_us_ = 0;
   std::uint64_t samples_ = 0;
-  float total_ = 0;
-  std::array<float, kBuckets> counts_{};
+  boost::circular_buffer<Duration> newest_;
 };
 
 }  // namespace jaypick::internal
--- a/src/admission/run_time_estimator.cc
+++ b/src/admission/run_time_estimator.cc
@@ -1,8 +1,8 @@
 #include "jaypick/internal/run_time_estimator.h"
 
 #include <algorithm>
-#include <bit>
-#include <cmath>
+#include <cstddef>
+#include <vector>
 
 namespace jaypick::internal {
 namespace {
@@ -11,11 +11,7 @@
 // followed within a few hundred samples.
 constexpr double kLeastMeanWeight = 0.01;
 
-// Sum of bucket counts at which all counts are halved, so that old samples
-// fade.
-constexpr float kHistogramLimit = 4096;
-
-// Samples between two readings of the histogram; early ones count each.
+// Samples between two readings of p99; early ones count each.
 constexpr std::uint64_t kReadingInterval = 16;
 constexpr std::uint64_t kEarlySamples = 64;
 
@@ -23,29 +19,13 @@
 // most kinds have a tail of several times their usual run time.
 constexpr int kDeclaredTail = 4;
 
-constexpr std::int64_t kSmallest = 64;
-constexpr int kSmallestLog = 6;
-constexpr std::size_t kStepsPerOctave = 8;
-
-std::size_t BucketOf(Duration run_time) {
-  const std::int64_t value = std::max(kSmallest, run_time.count());
-  const double steps = (std::log2(static_cast<double>(value)) - kSmallestLog) *
-                       static_cast<double>(kStepsPerOctave);
-  return std::min(static_cast<std::size_t>(steps),
-                  RunTimeEstimator::kBuckets - 1);
-}
-
-// Upper end of a bucket.
-Duration UpperEnd(std::size_t bucket) {
-  const double octaves =
-      static_cast<double>(bucket + 1) / static_cast<double>(kStepsPerOctave);
-  return Duration(static_cast<std::int64_t>(std::exp2(octaves + kSmallestLog)));
-}
+// Part of the run times that p99 leaves above.
+constexpr std::size_t kOneOf = 100;
 
 }  // namespace
 
 RunTimeEstimator::RunTimeEstimator(Duration declared)
-    : mean_(declared), p99_(declared * kDeclaredTail) {}
+    : mean_(declared), p99_(declared * kDeclaredTail), newest_(kWindow) {}
 
 void RunTimeEstimator::Record(Duration run_time) {
   ++samples_;
@@ -56,35 +36,18 @@
   mean_us_ = samples_ == 1 ? static_cast<double>(mean_.count()) : mean_us_;
   mean_us_ += weight * (static_cast<double>(run_time.count()) - mean_us_);
   mean_ = Duration(static_cast<std::int64_t>(mean_us_));
-  RecordInHistogram(run_time);
+  newest_.push_back(run_time);
   if (samples_ < kEarlySamples || samples_ % kReadingInterval == 0) {
     p99_ = ReadP99();
   }
 }
 
-void RunTimeEstimator::RecordInHistogram(Duration run_time) {
-  counts_[BucketOf(run_time)] += 1;
-  total_ += 1;
-  if (total_ < kHistogramLimit) {
-    return;
-  }
-  total_ = 0;
-  for (float& count : counts_) {
-    count /= 2;
-    total_ += count;
-  }
-}
-
 Duration RunTimeEstimator::ReadP99() const {
-  const float limit = total_ * 0.01F;
-  float above = 0;
-  for (std::size_t bucket = kBuckets - 1; bucket > 0; --bucket) {
-    above += counts_[bucket];
-    if (above > limit) {
-      return UpperEnd(bucket);
-    }
-  }
-  return UpperEnd(0);
+  std::vector<Duration> sorted(newest_.begin(), newest_.end());
+  const auto place =
+      sorted.end() - 1 - static_cast<std::ptrdiff_t>(sorted.size() / kOneOf);
+  std::nth_element(sorted.begin(), place, sorted.end());
+  return *place;
 }
 
 Duration RunTimeEstimator::mean() const {
--- a/src/dispatch/core.h
+++ b/src/dispatch/core.h
@@ -86,6 +86,10 @@
   void Resubmit(const Submission& submission,
                 std::uint64_t counter,
                 const internal::IdRecord& record);
+  // Opens the call of a query or cancellation and finds the record of its id.
+  // Returns null if the call was forwarded or answered.
+  template <typename Message>
+  const internal::IdRecord* Locate(const Message& message);
   // Finds the record of a local id, or answers the call.
   const internal::IdRecord* FindRecord(CallId call,
                                        const JobId& id,
--- a/src/dispatch/core_calls.cc
+++ b/src/dispatch/core_calls.cc
@@ -61,14 +61,18 @@
   SubmitUnderId(std::move(submission), std::get<JobId>(identity));
 }
 
-void Dispatcher::Core::On(QueryJob& message) {
+template <typename Message>
+const IdRecord* Dispatcher::Core::Locate(const Message& message) {
   calls_.emplace(message.call.value, std::nullopt);
   if (!IsOwnId(message.id)) {
     RouteElsewhere(message.call, message.id, message.forwarded, message);
-    return;
+    return nullptr;
   }
-  const IdRecord* const record =
-      FindRecord(message.call, message.id, message.owner);
+  return FindRecord(message.call, message.id, message.owner);
+}
+
+void Dispatcher::Core::On(QueryJob& message) {
+  const IdRecord* const record = Locate(message);
   if (record == nullptr) {
     return;
   }
@@ -80,13 +84,7 @@
 }
 
 void Dispatcher::Core::On(CancelJob& message) {
-  calls_.emplace(message.call.value, std::nullopt);
-  if (!IsOwnId(message.id)) {
-    RouteElsewhere(message.call, message.id, message.forwarded, message);
-    return;
-  }
-  const IdRecord* const record =
-      FindRecord(message.call, message.id, message.owner);
+  const IdRecord* const record = Locate(message);
   if (record == nullptr) {
     return;
   }
