Bound kept answers by their records and by owner; hold stand-in ports

Records now count, the oldest answer of the largest holder goes first, and only jobs that have not ended count for admission. Ruled out: a shorter retention, which callers rely on for resubmissions. Stand-ins now hold their port with a bound socket, as the tests did for entries; both share that class.

--- a/bench/entry_cost.sh
+++ b/bench/entry_cost.sh
@@ -24,7 +24,7 @@
 }
 
 upstream_connections() {
-  local pid control sum=0 i
+  local sum=0 i
   for i in "${controls[@]}"; do
     sum=$((sum + $(curl -fsS "http://127.0.0.1:$i/stats" |
       sed -E 's/.*"connections":([0-9]+).*/\1/')))
@@ -65,7 +65,7 @@
   local i
   controls=()
   for ((i = 1; i <= $1; ++i)); do
-    start "$folder/u$i.log" jaypick-standin-upstream --median_run_ms=0.01 \
+    start "$folder/u$i.log" jaypick-standin-upstream \
       --record_starts=false "--lifetime_s=$lifetime"
     controls+=("$(control_port "$folder/u$i.log")")
     put "{\"name\":\"u$i\",\"role\":\"upstream\",\"address\":\"127.0.0.1\",\"port\":$(service_port "$folder/u$i.log"),\"failure_domain\":\"d\",\"service\":\"fitting\",\"slots\":8,\"offers\":{\"cpus\":32,\"memory_mb\":65536,\"accelerators\":0}}"
@@ -79,7 +79,7 @@
   cpu=$(ticks_of "$entry_pid")
   line=$("$build/jaypick-standin-caller" \
     "--entry_port=$(entry_port "$folder/e1.log" caller)" "--tasks=$1" \
-    "--in_flight=$2" "--warm_up_ms=$warm_up_ms" \
+    "--payload={\"run_ms\":0}" "--in_flight=$2" "--warm_up_ms=$warm_up_ms" \
     "--duration_ms=$duration_ms" | tail -n 1)
   cpu=$(($(ticks_of "$entry_pid") - cpu))
   started=$(($(started_tasks) - started))
--- a/include/jaypick/dispatcher.h
+++ b/include/jaypick/dispatcher.h
@@ -68,7 +68,8 @@
   std::size_t id_window = 1'000'000;
   // Time for which answers are kept for resubmissions.
   Duration answer_retention = std::chrono::seconds(60);
-  // Bytes of kept answers; the oldest go first.
+  // Bytes of kept answers and their records; the oldest of the owner that holds
+  // most go first.
   std::size_t answer_bytes_limit = std::size_t{64} * 1024 * 1024;
   // Shortest attempt timeout of idempotent kinds and of the others, and the
   // multiple of the learned p99 run time above it. It bounds how long a silent
--- a/include/jaypick/internal/admission.h
+++ b/include/jaypick/internal/admission.h
@@ -14,7 +14,7 @@
 struct AdmissionOptions {
   // Tasks waiting or running at one entry, all owners together.
   std::size_t tasks_limit = 20'000;
-  // Bytes of task payloads and results held for one owner.
+  // Bytes of payloads of one owner's jobs that have not ended.
   std::size_t bytes_per_owner_limit = std::size_t{32} * 1024 * 1024;
   // Part of the time to the deadline that the expected wait may fill.
   double wait_margin = 1.0;
--- a/include/jaypick/internal/job_table.h
+++ b/include/jaypick/internal/job_table.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <unordered_map>
 
@@ -20,9 +21,10 @@
 
 // Finds jobs by counter and forgets ended ones.
 //
-// An ended job is forgotten when its retention is over, or earlier, oldest
-// first, when kept answers exceed their limit. A job with a running attempt
-// stays until that attempt has ended, because its slot is still in use.
+// An ended job is forgotten when its retention is over. When kept answers
+// exceed their limit, the oldest of the owner that holds most go first, so that
+// a busy owner does not push out the answers of another. A job with a running
+// attempt stays until that attempt has ended, because its slot is still in use.
 class JobTable {
  public:
   explicit JobTable(JobTableOptions options);
@@ -42,8 +44,9 @@
   std::optional<TimePoint> next_expiry() const;
 
   std::size_t active() const { return active_; }
-  // Bytes held for `owner`, running and kept jobs together.
-  std::size_t owner_bytes(OwnerNumber owner) const;
+  // Bytes of payloads of the owner's jobs that have not ended. Kept answers do
+  // not count: they make room for each other, and must not refuse new jobs.
+  std::size_t active_bytes(OwnerNumber owner) const;
 
  private:
   struct Kept {
@@ -52,12 +55,20 @@
     std::size_t bytes = 0;
   };
 
-  bool TryForget(const Kept& kept);
+  struct Owner {
+    std::size_t active_bytes = 0;
+    std::size_t kept_bytes = 0;
+    std::deque<Kept> kept;
+  };
+
+  void ExpireOwner(Owner& owner, TimePoint now);
+  // Forgets the owner's oldest answer, or looks at it again later.
+  void ForgetOldest(Owner& owner, TimePoint now);
 
   JobTableOptions options_;
   std::unordered_map<std::uint64_t, JobPointer> jobs_;
-  std::unordered_map<OwnerNumber, std::size_t> owner_bytes_;
-  std::deque<Kept> kept_;
+  std::map<OwnerNumber, Owner> owners_;
+  std::size_t kept_ = 0;
   std::size_t kept_bytes_ = 0;
   std::size_t active_ = 0;
 };
--- a/src/dispatch/core_checks.cc
+++ b/src/dispatch/core_checks.cc
@@ -148,7 +148,7 @@
       .entry_tasks = unfinished_tasks_,
       .queued_of_kind = queue.queued(owner, kind_number),
       .queue_limit = entry.kind.queue_limit,
-      .owner_bytes = jobs_.owner_bytes(owner),
+      .owner_bytes = jobs_.active_bytes(owner),
       .owner_backlog = queue.Backlog(owner, cost_),
       .owner_slots =
           queue.EffectiveShare(owner) * pool_.UsableSlots(entry.service),
--- a/standins/relay.cc
+++ b/standins/relay.cc
@@ -64,13 +64,14 @@
 Relay::Relay(event_base* base, RelayOptions options)
     : base_(base),
       target_port_(options.target_port),
+      port_(options.port),
       control_(
           base,
           options.control_port,
           ControlHandler([this](const std::string& path, const Json& body) {
             return Control(path, body);
           })) {
-  Listen(options.port);
+  Listen();
 }
 
 Relay::~Relay() {
@@ -78,8 +79,8 @@
   CloseAll();
 }
 
-void Relay::Listen(std::uint16_t port) {
-  const sockaddr_in address = Loopback(port);
+void Relay::Listen() {
+  const sockaddr_in address = Loopback(port_.value());
   const auto on_accept = [](evconnlistener*, evutil_socket_t socket, sockaddr*,
                             int, void* self) {
     static_cast<Relay*>(self)->Accept(socket);
@@ -88,13 +89,9 @@
       base_, on_accept, this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE,
       kBacklog, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
   if (listener_ == nullptr) {
-    throw std::runtime_error("cannot listen on port " + std::to_string(port));
+    throw std::runtime_error("cannot listen on port " +
+                             std::to_string(port_.value()));
   }
-  sockaddr_in bound{};
-  socklen_t size = sizeof(bound);
-  getsockname(evconnlistener_get_fd(listener_),
-              reinterpret_cast<sockaddr*>(&bound), &size);
-  port_ = ntohs(bound.sin_port);
 }
 
 void Relay::StopListening() {
@@ -215,7 +212,7 @@
     StopListening();
     CloseAll();
   } else if (listener_ == nullptr) {
-    Listen(port_);
+    Listen();
   }
 }
 
--- a/standins/relay.h
+++ b/standins/relay.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "jaypick/time.h"
+#include "standins/port_holder.h"
 #include "standins/program.h"
 #include "standins/wire_server.h"
 
@@ -46,7 +47,7 @@
   Relay(const Relay&) = delete;
   Relay& operator=(const Relay&) = delete;
 
-  std::uint16_t port() const { return port_; }
+  std::uint16_t port() const { return port_.value(); }
   std::uint16_t control_port() const { return control_.port(); }
 
   // As a request to the control port; nothing for an unknown path.
@@ -62,7 +63,7 @@
     std::uint64_t bytes = 0;
   };
 
-  void Listen(std::uint16_t port);
+  void Listen();
   void StopListening();
   void Accept(int socket);
   void Attach(Link& link, Direction from, bufferevent* events);
@@ -75,7 +76,7 @@
   event_base* base_;
   std::uint16_t target_port_;
   evconnlistener* listener_ = nullptr;
-  std::uint16_t port_ = 0;
+  PortHolder port_;
   Path paths_[2];
   std::uint64_t next_id_ = 1;
   std::map<std::uint64_t, std::unique_ptr<Link>> links_;
--- a/standins/wire_server.cc
+++ b/standins/wire_server.cc
@@ -105,13 +105,6 @@
   return text;
 }
 
-std::uint16_t BoundPort(int socket) {
-  sockaddr_in address{};
-  socklen_t size = sizeof(address);
-  getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-  return ntohs(address.sin_port);
-}
-
 }  // namespace
 
 struct WireServer::Connection {
@@ -125,19 +118,19 @@
 WireServer::WireServer(event_base* base,
                        std::uint16_t port,
                        WireHandler handler)
-    : base_(base), handler_(std::move(handler)) {
-  Listen(port);
+    : base_(base), handler_(std::move(handler)), port_(port) {
+  Listen();
 }
 
 WireServer::~WireServer() {
   SetListening(false);
 }
 
-void WireServer::Listen(std::uint16_t port) {
+void WireServer::Listen() {
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  address.sin_port = htons(port);
+  address.sin_port = htons(port_.value());
   const auto on_accept = [](evconnlistener*, evutil_socket_t socket, sockaddr*,
                             int, void* self) {
     static_cast<WireServer*>(self)->Accept(socket);
@@ -146,14 +139,14 @@
       base_, on_accept, this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE,
       kBacklog, reinterpret_cast<sockaddr*>(&address), sizeof(address));
   if (listener_ == nullptr) {
-    throw std::runtime_error("cannot listen on port " + std::to_string(port));
+    throw std::runtime_error("cannot listen on port " +
+                             std::to_string(port_.value()));
   }
-  port_ = BoundPort(evconnlistener_get_fd(listener_));
 }
 
 void WireServer::SetListening(bool listening) {
   if (listening && listener_ == nullptr) {
-    Listen(port_);
+    Listen();
   }
   if (!listening && listener_ != nullptr) {
     evconnlistener_free(listener_);
--- a/standins/wire_server.h
+++ b/standins/wire_server.h
@@ -14,6 +14,7 @@
 #include <string_view>
 
 #include "http/http.h"
+#include "standins/port_holder.h"
 
 struct bufferevent;
 struct event_base;
@@ -64,7 +65,7 @@
   WireServer(const WireServer&) = delete;
   WireServer& operator=(const WireServer&) = delete;
 
-  std::uint16_t port() const { return port_; }
+  std::uint16_t port() const { return port_.value(); }
 
   // With false, new connections are refused and open ones are reset; with true,
   // the server listens again on the same port.
@@ -81,7 +82,7 @@
   friend class Exchange;
   struct Connection;
 
-  void Listen(std::uint16_t port);
+  void Listen();
   void Accept(int socket);
   void Read(std::uint64_t id);
   void Write(std::uint64_t id, std::string_view bytes, bool close);
@@ -91,7 +92,7 @@
   event_base* base_;
   WireHandler handler_;
   evconnlistener* listener_ = nullptr;
-  std::uint16_t port_ = 0;
+  PortHolder port_;
   std::size_t connection_limit_ = 0;
   std::size_t connections_peak_ = 0;
   std::uint64_t connections_refused_ = 0;
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -1,10 +1,6 @@
 #include "tests/cluster.h"
 
-#include <arpa/inet.h>
 #include <criterion/criterion.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <set>
 #include <utility>
@@ -38,25 +34,6 @@
 
 }  // namespace
 
-// A bound socket that does not listen lets a process with SO_REUSEADDR listen,
-// and keeps the system from handing the port to anybody else.
-ReservedPort::ReservedPort() : socket_(socket(AF_INET, SOCK_STREAM, 0)) {
-  const int on = 1;
-  setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  cr_assert(bind(socket_, reinterpret_cast<sockaddr*>(&address),
-                 sizeof(address)) == 0);
-  socklen_t size = sizeof(address);
-  getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size);
-  value_ = ntohs(address.sin_port);
-}
-
-ReservedPort::~ReservedPort() {
-  close(socket_);
-}
-
 Cluster::Cluster(ClusterOptions options) : options_(std::move(options)) {
   folder_.Write("token", kToken);
   kv_ = Start("jaypick-standin-kv", "kv");
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "standins/port_holder.h"
 #include "tests/process_harness.h"
 
 namespace jaypick::testing {
@@ -22,20 +23,8 @@
   Json entry_settings = Json::object();
 };
 
-// A port that stays reserved for this test while no process listens on it.
-class ReservedPort {
- public:
-  ReservedPort();
-  ~ReservedPort();
-  ReservedPort(const ReservedPort&) = delete;
-  ReservedPort& operator=(const ReservedPort&) = delete;
-
-  std::uint16_t value() const { return value_; }
-
- private:
-  int socket_;
-  std::uint16_t value_;
-};
+// Keeps a port for an entry over its restarts.
+using ReservedPort = standin::PortHolder;
 
 // A stand-in program with its ports.
 struct Standin {
