--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,8 @@
 
 bench: build
 	@build/release/jaypick-bench
+	@bench/entry_cost.sh build/release
+	@bench/control_traffic.sh build/release
 
 soak: build
 	@build/release/jaypick-soak --seed=$(SEED) --steps=$(STEPS)
