--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -105,6 +105,10 @@
   for (event* const each : {terminate_, interrupt_, reload_}) {
     evsignal_add(each, nullptr);
   }
+  // From here on, signals are handled.
+  LogEvent(LogLevel::kInfo, "started",
+           {{"instance", settings_.instance},
+            {"failure_domain", settings_.failure_domain}});
   Start();
   event_base_dispatch(runtime_.base());
 }
--- a/tests/platform_rig.cc
+++ b/tests/platform_rig.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "tests/support/platform_configuration.h"
+
 namespace jaypick::testing {
 
 using nlohmann::json;
@@ -31,20 +33,8 @@
 }
 
 void PlatformRig::PutConfiguration(int version, const std::string& prefix) {
-  store.Put("op/config", json{{"version", version},
-                              {"routes",
-                               {{{"name", "match"},
-                                 {"host", "fit.example"},
-                                 {"prefix", prefix},
-                                 {"timeout_ms", 1500},
-                                 {"target_latency_ms", 60},
-                                 {"priority", 0},
-                                 {"service", "fitting"},
-                                 {"max_attempts", 3},
-                                 {"stretch", 1.6}}}},
-                              {"services", {{{"name", "fitting"}}}},
-                              {"limits", {{"max_body_bytes", 262144}}}}
-                             .dump());
+  store.Put(kConfigurationKey,
+            PlatformConfiguration({.version = version, .prefix = prefix}));
 }
 
 std::size_t PlatformRig::AddNode(const std::string& domain) {
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -2,9 +2,13 @@
 
 #include <signal.h>
 
+#include <filesystem>
 #include <fstream>
+#include <system_error>
 #include <utility>
 
+#include "tests/support/platform_configuration.h"
+
 namespace jaypick::soak {
 namespace {
 
@@ -15,8 +19,6 @@
 // Beyond the limit, for a busy machine.
 constexpr Duration kShutdownSlack = std::chrono::seconds(4);
 constexpr int kLongestFaultMs = 2500;
-// Before its first instruction a program cannot handle a signal.
-constexpr Duration kLoadingTime = milliseconds(50);
 // Cores of an upstream, and of each task.
 constexpr std::uint32_t kUpstreamMilliCpus = 16000;
 constexpr std::size_t kTasksPerUpstream = 2;
@@ -29,6 +31,19 @@
   return number % 2 == 0 ? "ghent" : "antwerp";
 }
 
+// Size of a log; 0 if there is none yet.
+std::uintmax_t LogBytes(const SoakNode& node) {
+  std::error_code missing;
+  const auto bytes = std::filesystem::file_size(node.log_path, missing);
+  return missing ? 0 : bytes;
+}
+
+// The process of the node handles signals: it logs its start after that.
+bool HasStarted(const SoakNode& node) {
+  return node.process->Log().find("\"started\"", node.log_bytes_at_launch) !=
+         std::string::npos;
+}
+
 }  // namespace
 
 World::World(const SoakOptions& options, std::string folder, SoakReport& report)
@@ -61,20 +76,9 @@
 
 void World::PutConfiguration() {
   ++version_;
-  store.Put("op/config", Json{{"version", version_},
-                              {"routes",
-                               {{{"name", "match"},
-                                 {"host", "fit.example"},
-                                 {"prefix", "/fit/"},
-                                 {"timeout_ms", 1500 + version_},
-                                 {"target_latency_ms", 60},
-                                 {"priority", 0},
-                                 {"service", "fitting"},
-                                 {"max_attempts", 3},
-                                 {"stretch", 1.6}}}},
-                              {"services", {{{"name", "fitting"}}}},
-                              {"limits", {{"max_body_bytes", 262144}}}}
-                             .dump());
+  store.Put(testing::kConfigurationKey,
+            testing::PlatformConfiguration(
+                {.version = version_, .timeout_ms = 1500 + version_}));
 }
 
 void World::AddUpstream(std::size_t number) {
@@ -123,12 +127,12 @@
 }
 
 void World::Launch(SoakNode& node) {
+  node.log_bytes_at_launch = LogBytes(node);
   node.process = std::make_unique<testing::Process>(
       "jaypick-node",
       std::vector<std::string>{"--settings=" + node.settings_path},
       node.log_path);
   node.is_paused = false;
-  node.launched = runtime.Now();
   node.terminated = TimePoint();
 }
 
@@ -169,8 +173,7 @@
 
 void World::StrikeNode(SoakNode& node) {
   const bool is_calm = !node.is_paused && node.terminated == TimePoint() &&
-                       node.process != nullptr &&
-                       runtime.Now() - node.launched >= kLoadingTime;
+                       node.process != nullptr;
   if (!is_calm) {
     return;
   }
@@ -191,6 +194,12 @@
       node.terminated = runtime.Now();
       return Note(node.name + " terminated");
     default:
+      // While a program is loaded, none of its code can keep the signal from
+      // ending it; process/reload_request_during_the_start_is_survived plays
+      // the time from there to the start.
+      if (!HasStarted(node)) {
+        return;
+      }
       node.process->Signal(SIGHUP);
       return Note(node.name + " reloaded");
   }
@@ -277,11 +286,12 @@
     }
     const bool is_terminated = node.terminated != TimePoint();
     if (node.process->HasExited()) {
-      // A process that is told to end before it has begun to serve dies of the
-      // signal: it has taken nothing.
+      // A process that is told to end before it runs dies of the signal: it
+      // has taken nothing.
       const bool is_asked =
-          is_terminated && (node.process->exit_code() == 0 ||
-                            node.process->ending_signal() == SIGTERM);
+          is_terminated &&
+          (node.process->exit_code() == 0 ||
+           (node.process->ending_signal() == SIGTERM && !HasStarted(node)));
       if (!is_asked) {
         Violate(node.name + " ended by itself, code " +
                 std::to_string(node.process->exit_code()) + ", signal " +
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -10,6 +10,7 @@
 #include "tests/process_harness.h"
 // clang-format on
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -36,7 +37,8 @@
   std::unique_ptr<standin::Relay> peer;
   std::unique_ptr<standin::Relay> store;
   bool is_paused = false;
-  TimePoint launched;
+  // Size of the log when the process was started: it is kept over restarts.
+  std::uintmax_t log_bytes_at_launch = 0;
   // Set while a SIGTERM is being carried out.
   TimePoint terminated;
 };
