Keep a leaving commander's command while the store is away

Cause: a commander follows its own record and so pings itself. While the store is away its record stays, the ping looked like one from a successor, and the commander gave its upstreams up 1.2 s after SIGTERM although nobody could take them before the store's return. It then took its record for a claim whose answer had been lost, took the command up again with its old token and was fenced by the upstreams.

Ruled out: the wait for a successor (4.2 s while the store is away) was right, but not reached; the successors' claims failed at the store, as they must.

Change: a ping only counts as the successor's if the record is not this process's; the revision of a command that was handed over is kept, as that of a lost one; a node that shuts down takes up no record of its own.

Tests, both failed before: node/shutdown_during_a_store_outage_keeps_the_command and node/command_that_was_given_up_is_not_taken_up_again.

--- a/src/node/keeper.cc
+++ b/src/node/keeper.cc
@@ -141,6 +141,7 @@
     if (is_over) {
       LogEvent(LogLevel::kInfo, "command_handed_over",
                {{"domain", failure_domain}});
+      given_up_revisions_[failure_domain] = held.revision;
       retired_.push_back(std::move(held.commander));
       held_.erase(failure_domain);
     }
@@ -231,8 +232,9 @@
 void Keeper::OnPing(const std::string& instance) {
   for (auto& [domain, held] : held_) {
     const auto record = view_.commands().find(domain);
+    // While the store is away, its record of this node's command stays.
     if (held.is_yielded && !held.commander->is_draining() &&
-        record != view_.commands().end() &&
+        record != view_.commands().end() && !IsOwn(record->second.record) &&
         record->second.record.instance == instance) {
       held.commander->Drain();
     }
@@ -290,7 +292,7 @@
            {{"domain", failure_domain}, {"cause", std::string(cause)}});
   std::unique_ptr<Commander> commander = std::move(it->second.commander);
   const std::int64_t lease = it->second.lease;
-  lost_revisions_[failure_domain] = it->second.revision;
+  given_up_revisions_[failure_domain] = it->second.revision;
   held_.erase(it);
   commander->GiveUp();
   retired_.push_back(std::move(commander));
--- a/src/node/keeper.h
+++ b/src/node/keeper.h
@@ -127,9 +127,9 @@
   // Since when a domain has had no record.
   std::map<std::string, TimePoint> absent_;
   std::map<std::string, Path> paths_;
-  // Highest revision of a command that was lost here. The mirror may go on
-  // showing its record for a while.
-  std::map<std::string, std::int64_t> lost_revisions_;
+  // Revision of the last command that was lost or handed over here. The mirror
+  // may go on showing its record for a while.
+  std::map<std::string, std::int64_t> given_up_revisions_;
   // When the store last contradicted the mirror.
   std::map<std::string, TimePoint> stale_;
   // Commanders that end once their callers have returned.
--- a/src/node/keeper_claims.cc
+++ b/src/node/keeper_claims.cc
@@ -53,11 +53,11 @@
   if (has_record) {
     absent_.erase(failure_domain);
     if (IsOwn(record->second.record)) {
-      const auto lost = lost_revisions_.find(failure_domain);
-      if (lost != lost_revisions_.end() &&
-          record->second.revision <= lost->second) {
+      const auto given_up = given_up_revisions_.find(failure_domain);
+      if (given_up != given_up_revisions_.end() &&
+          record->second.revision <= given_up->second) {
         OnStaleView(failure_domain);
-      } else {
+      } else if (!is_draining_) {
         // The answer to the claim was lost.
         Hold(failure_domain, 0, record->second.revision);
       }
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -247,6 +247,53 @@
   cr_assert_eq(CountStatus(rig, 20, 200), 20);
 }
 
+// Guards against a domain that nobody commands because its holder shuts down
+// while the store is away; seen in bfp-pasbank trouble-1, where the holder gave
+// its command up 1.2 s after the signal and nobody could take it for 4 s.
+Test(node, shutdown_during_a_store_outage_keeps_the_command) {
+  PlatformRig rig;
+  rig.AddNode();
+  rig.AddNode();
+  cr_assert(rig.WaitUntilReady());
+  rig.loop.RunFor(500);
+  rig.store.SetDown(true);
+  rig.loop.RunFor(200);
+  const auto leaving = static_cast<std::size_t>(rig.HolderOf());
+  rig.node(leaving).RequestShutdown();
+  constexpr int kJobs = 35;
+  for (int job = 0; job < kJobs; ++job) {
+    rig.Submit(1 - leaving, Id(job), 1, "50");
+    rig.loop.RunFor(100);
+  }
+  rig.store.SetDown(false);
+  cr_assert(rig.WaitForAnswers());
+  for (int job = 0; job < kJobs; ++job) {
+    cr_expect_eq(rig.StatusOf(Id(job)), 200, "%d: %d %s", job,
+                 rig.StatusOf(Id(job)), rig.BodyOf(Id(job)).c_str());
+  }
+  AssertNoViolation(rig);
+}
+
+// Guards against a holder that shuts down, gives its command up, and takes it
+// up again from its own record, which the store still shows.
+Test(node, command_that_was_given_up_is_not_taken_up_again) {
+  PlatformRig rig;
+  rig.AddNode();
+  cr_assert(rig.WaitUntilReady());
+  rig.loop.RunFor(500);
+  rig.store.StallWatches(true);
+  rig.node(0).keeper().Yield("ghent", "test");
+  const auto is_held = [&] {
+    return rig.node(0).keeper().Find("ghent") != nullptr;
+  };
+  const std::uint64_t token = rig.node(0).keeper().Find("ghent")->token();
+  cr_assert(rig.loop.RunUntil([&] { return !is_held(); }));
+  cr_assert(rig.loop.RunUntil(is_held));
+  cr_assert_gt(rig.node(0).keeper().Find("ghent")->token(), token);
+  rig.store.StallWatches(false);
+  AssertNoViolation(rig);
+}
+
 // Guards against a claim whose answer was lost and that nobody takes up.
 Test(node, lost_answer_to_a_claim_is_settled) {
   PlatformRig rig;
