Send the view to nodes that start while the store is away

Ruled out: its own last view can not be kept, as no machine has a disk.

Change: holders hear of all nodes by their pings. While the store is away, a holder sends its view to nodes that it has heard of and that have become silent; they take it unless the store answers them. The exchange of views moved from Node and PeerServer to a class of its own, and carries delegations too.

Tests: node/node_that_starts_while_the_store_is_away_serves (fails without the sending: 'no configuration yet'), peer_messages/views_are_read_as_they_were_sent.

--- a/src/node/keeper.h
+++ b/src/node/keeper.h
@@ -27,6 +27,13 @@
 // fencing token, which rises with the store's revision.
 class Keeper {
  public:
+  // A node that pings this one.
+  struct Peer {
+    CommandRecord record;
+    bool is_draining = false;
+    TimePoint heard;
+  };
+
   Keeper(Runtime& runtime,
          const NodeSettings& settings,
          std::string incarnation,
@@ -66,6 +73,10 @@
   std::vector<CommandStatus> Statuses();
   bool has_commands() const { return !held_.empty(); }
   const std::vector<Delegation>& delegations() const { return delegations_; }
+  // By instance; holders hear of all nodes that use their domains.
+  const std::map<std::string, Peer>& peers_heard() const {
+    return peers_heard_;
+  }
   // What a record says of this node.
   CommandRecord OwnRecord() const;
 
@@ -96,13 +107,6 @@
     std::vector<std::string> held;
   };
 
-  // An instance that pings this one.
-  struct Peer {
-    CommandRecord record;
-    bool is_draining = false;
-    TimePoint heard;
-  };
-
   // How long the upstreams of a domain have answered, while its holder is
   // silent.
   struct Path {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -25,7 +25,6 @@
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(400);
 // Before that, jobs that still run are given up and answered.
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(700);
-constexpr Duration kViewTimeout = std::chrono::milliseconds(400);
 
 std::string RandomIncarnation() {
   std::random_device device;
@@ -59,7 +58,13 @@
             keeper_.OnPeerAnswer();
           }),
       keeper_(runtime_, settings_, incarnation_, store, view_, peers_, caller_),
-      peer_server_(runtime_, settings_, incarnation_, keeper_, view_),
+      view_exchange_(runtime_, settings_, view_, peers_, keeper_),
+      peer_server_(runtime_,
+                   settings_,
+                   incarnation_,
+                   keeper_,
+                   view_,
+                   view_exchange_),
       entry_(runtime_, settings_, dialect, view_, peers_, keeper_, metrics_),
       readiness_(base, {.address = settings_.readiness}),
       metrics_server_(base, {.address = settings_.metrics}),
@@ -158,43 +163,13 @@
 }
 
 void Node::OnTick() {
-  if (!view_.is_connected()) {
-    ImportFromPeer();
-  }
+  view_exchange_.Tick();
   if (is_shutting_down_ && !has_ended_) {
     CheckEnd();
   }
   tick_.After(kTick);
 }
 
-// A node that the store turns away reads what a peer has read.
-void Node::ImportFromPeer() {
-  if (is_importing_) {
-    return;
-  }
-  for (const std::string& domain : settings_.failure_domains) {
-    const CommandRecord* const holder = peers_.Holder(domain);
-    if (holder == nullptr || holder->instance == settings_.instance ||
-        peers_.StateOf(domain) != command::HolderState::kAlive) {
-      continue;
-    }
-    is_importing_ = true;
-    peers_.Send(
-        holder->address, {.method = http::Method::kGet, .path = kViewPath},
-        kViewTimeout, [this](const http::ClientResult& result) {
-          is_importing_ = false;
-          const auto* const response = std::get_if<http::Response>(&result);
-          if (response == nullptr) {
-            return;
-          }
-          if (auto view = DecodeView(response->body)) {
-            view_.Import(*std::move(view));
-          }
-        });
-    return;
-  }
-}
-
 void Node::CheckEnd() {
   const TimePoint now = runtime_.Now();
   const bool is_busy = entry_.open_calls() > 0 ||
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -17,6 +17,7 @@
 #include "node/settings.h"
 #include "node/shared_view.h"
 #include "node/upstream_caller.h"
+#include "node/view_exchange.h"
 
 struct event;
 struct event_base;
@@ -51,7 +52,6 @@
  private:
   static void OnSignal(int signal, short what, void* self);
   void OnTick();
-  void ImportFromPeer();
   void CheckEnd();
   bool IsReady();
 
@@ -62,6 +62,7 @@
   SharedView view_;
   Peers peers_;
   Keeper keeper_;
+  ViewExchange view_exchange_;
   PeerServer peer_server_;
   NodeMetrics metrics_;
   Entry entry_;
@@ -72,7 +73,6 @@
   event* interrupt_ = nullptr;
   event* reload_ = nullptr;
   bool is_shutting_down_ = false;
-  bool is_importing_ = false;
   bool has_ended_ = false;
   TimePoint shutdown_began_;
   TimePoint last_busy_;
--- a/src/node/peer_messages.cc
+++ b/src/node/peer_messages.cc
@@ -131,6 +131,22 @@
           .held = value.at("held")};
 }
 
+json ToJson(const std::vector<Delegation>& delegations) {
+  json values = json::array();
+  for (const Delegation& delegation : delegations) {
+    values.push_back(ToJson(delegation));
+  }
+  return values;
+}
+
+std::vector<Delegation> DelegationsFrom(const json& values) {
+  std::vector<Delegation> delegations;
+  for (const json& value : values) {
+    delegations.push_back(DelegationFrom(value));
+  }
+  return delegations;
+}
+
 struct OutcomeToJson {
   json operator()(const schedule::Completed&) const {
     return {{"outcome", "completed"}};
@@ -211,15 +227,11 @@
   for (const CommandStatus& status : message.commands) {
     commands.push_back(ToJson(status));
   }
-  json delegations = json::array();
-  for (const Delegation& delegation : message.delegations) {
-    delegations.push_back(ToJson(delegation));
-  }
   return Dump({{"clock_us", message.clock_us},
                {"incarnation", message.incarnation},
                {"configuration", message.configuration_version},
                {"commands", std::move(commands)},
-               {"delegations", std::move(delegations)}});
+               {"delegations", ToJson(message.delegations)}});
 }
 
 std::optional<PingAnswer> DecodePingAnswer(std::string_view text) {
@@ -230,9 +242,7 @@
     for (const json& status : value.at("commands")) {
       answer.commands.push_back(StatusFrom(status));
     }
-    for (const json& delegation : value.at("delegations")) {
-      answer.delegations.push_back(DelegationFrom(delegation));
-    }
+    answer.delegations = DelegationsFrom(value.at("delegations"));
     return answer;
   });
 }
@@ -263,9 +273,9 @@
   });
 }
 
-std::string Encode(const std::vector<MirrorState>& view) {
+std::string Encode(const NodeView& view) {
   json prefixes = json::array();
-  for (const MirrorState& state : view) {
+  for (const MirrorState& state : view.mirrors) {
     json items = json::array();
     for (const auto& [key, item] : state.items) {
       items.push_back({{"key", key},
@@ -278,14 +288,14 @@
                         {"revision", state.revision},
                         {"items", std::move(items)}});
   }
-  return Dump(prefixes);
+  return Dump({{"mirrors", std::move(prefixes)},
+               {"delegations", ToJson(view.delegations)}});
 }
 
-std::optional<std::vector<MirrorState>> DecodeView(std::string_view text) {
-  using View = std::vector<MirrorState>;
-  return DecodeWith<View>(text, [](const json& value) {
-    View view;
-    for (const json& prefix : value) {
+std::optional<NodeView> DecodeView(std::string_view text) {
+  return DecodeWith<NodeView>(text, [](const json& value) {
+    NodeView view{.delegations = DelegationsFrom(value.at("delegations"))};
+    for (const json& prefix : value.at("mirrors")) {
       MirrorState state{.prefix = prefix.at("prefix"),
                         .revision = prefix.at("revision")};
       for (const json& item : prefix.at("items")) {
@@ -297,7 +307,7 @@
         std::string key = stored.key;
         state.items.emplace(std::move(key), std::move(stored));
       }
-      view.push_back(std::move(state));
+      view.mirrors.push_back(std::move(state));
     }
     return view;
   });
--- a/src/node/peer_messages.h
+++ b/src/node/peer_messages.h
@@ -116,6 +116,12 @@
   MirroredItems items;
 };
 
+// What a node knows of the store.
+struct NodeView {
+  std::vector<MirrorState> mirrors;
+  std::vector<Delegation> delegations;
+};
+
 std::string Encode(const HandOver& message);
 std::string Encode(const HandOverAnswer& message);
 std::string Encode(const Ping& message);
@@ -123,7 +129,7 @@
 std::string Encode(const CommandRecord& record);
 std::string Encode(const Delegation& delegation);
 std::string Encode(const DelegationAnswer& answer);
-std::string Encode(const std::vector<MirrorState>& view);
+std::string Encode(const NodeView& view);
 
 // Return nothing for a text of another form.
 std::optional<HandOver> DecodeHandOver(std::string_view text);
@@ -133,7 +139,7 @@
 std::optional<CommandRecord> DecodeCommandRecord(std::string_view text);
 std::optional<Delegation> DecodeDelegation(std::string_view text);
 std::optional<DelegationAnswer> DecodeDelegationAnswer(std::string_view text);
-std::optional<std::vector<MirrorState>> DecodeView(std::string_view text);
+std::optional<NodeView> DecodeView(std::string_view text);
 
 }  // namespace jaypick::node
 
--- a/src/node/peer_server.cc
+++ b/src/node/peer_server.cc
@@ -35,12 +35,14 @@
                        const NodeSettings& settings,
                        std::string incarnation,
                        Keeper& keeper,
-                       SharedView& view)
+                       SharedView& view,
+                       ViewExchange& view_exchange)
     : runtime_(runtime),
       settings_(settings),
       incarnation_(std::move(incarnation)),
       keeper_(keeper),
       view_(view),
+      view_exchange_(view_exchange),
       timer_(runtime.base(), [this] { DropSilent(); }),
       server_(runtime.base(),
               {.address = settings.peer,
@@ -63,8 +65,19 @@
       });
   server_.Handle(http::Method::kGet, kViewPath,
                  [this](const http::Request&, http::Responder responder) {
-                   responder.Send(Text(Encode(view_.Export())));
+                   responder.Send(Text(Encode(view_exchange_.Export())));
                  });
+  server_.Handle(
+      http::Method::kPost, kViewPath,
+      [this](const http::Request& request, http::Responder responder) {
+        auto view = DecodeView(request.body);
+        if (!view) {
+          responder.Send(Malformed());
+          return;
+        }
+        view_exchange_.Import(*std::move(view));
+        responder.Send(Text("{}"));
+      });
   timer_.After(kCheckInterval);
 }
 
--- a/src/node/peer_server.h
+++ b/src/node/peer_server.h
@@ -13,6 +13,7 @@
 #include "node/runtime.h"
 #include "node/settings.h"
 #include "node/shared_view.h"
+#include "node/view_exchange.h"
 
 namespace jaypick::node {
 
@@ -22,7 +23,8 @@
              const NodeSettings& settings,
              std::string incarnation,
              Keeper& keeper,
-             SharedView& view);
+             SharedView& view,
+             ViewExchange& view_exchange);
   ~PeerServer();
   PeerServer(const PeerServer&) = delete;
   PeerServer& operator=(const PeerServer&) = delete;
@@ -51,6 +53,7 @@
   std::string incarnation_;
   Keeper& keeper_;
   SharedView& view_;
+  ViewExchange& view_exchange_;
   std::map<std::uint64_t, Job> handed_over_;
   std::map<std::string, TimePoint> heard_;
   std::uint64_t last_number_ = 0;
--- a/src/node/peers.cc
+++ b/src/node/peers.cc
@@ -76,6 +76,14 @@
   }
 }
 
+std::vector<Delegation> Peers::delegations() const {
+  std::vector<Delegation> all;
+  for (const auto& [key, delegation] : delegations_) {
+    all.push_back(delegation);
+  }
+  return all;
+}
+
 const CommandRecord* Peers::Holder(const std::string& failure_domain) const {
   const auto it = followed_.find(failure_domain);
   return it == followed_.end() ? nullptr : &it->second.record;
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -48,6 +48,8 @@
               std::uint64_t token);
   // A holder has delegated a command.
   void OnDelegation(const Delegation& delegation);
+  // All delegations that this node has heard of.
+  std::vector<Delegation> delegations() const;
 
   // Follows a holder that hands its upstreams over to this node. `held` are
   // those that it has not given up, as far as it has said so itself.
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -336,6 +336,33 @@
   AssertNoViolation(rig);
 }
 
+// Guards against a node that starts while the store is away and refuses all its
+// callers until the store is back, although its peers know all it needs:
+// rolling stops during an outage, as in bfp-pasbank trouble-1.
+Test(node, node_that_starts_while_the_store_is_away_serves) {
+  PlatformRig rig;
+  rig.AddNode();
+  rig.AddNode();
+  cr_assert(rig.WaitUntilReady());
+  rig.loop.RunFor(500);
+  const auto holder = static_cast<std::size_t>(rig.HolderOf());
+  const std::size_t other = 1 - holder;
+  rig.store.SetDown(true);
+  rig.loop.RunFor(200);
+  rig.KillNode(other);
+  rig.loop.RunFor(700);
+  rig.RestartNode(other);
+  rig.loop.RunFor(1000);
+  for (int job = 0; job < 10; ++job) {
+    rig.Submit(other, Id(job), 1, "50");
+    rig.loop.RunFor(50);
+  }
+  cr_assert(rig.WaitForAnswers());
+  cr_assert_eq(CountStatus(rig, 10, 200), 10, "%d %s", rig.StatusOf(Id(0)),
+               rig.BodyOf(Id(0)).c_str());
+  AssertNoViolation(rig);
+}
+
 // Guards against a holder that shuts down, gives its command up, and takes it
 // up again from its own record, which the store still shows.
 Test(node, command_that_was_given_up_is_not_taken_up_again) {
--- a/tests/peer_messages_test.cc
+++ b/tests/peer_messages_test.cc
@@ -47,6 +47,27 @@
   cr_assert(read->commands[0].held == answer.commands[0].held);
 }
 
+Test(peer_messages, views_are_read_as_they_were_sent) {
+  const NodeView view{.mirrors = {{.prefix = "op/",
+                                   .revision = 8,
+                                   .items = {{"op/config",
+                                              {.key = "op/config",
+                                               .value = R"({"version":3})",
+                                               .create_revision = 2,
+                                               .mod_revision = 8,
+                                               .lease = 5}}}}},
+                      .delegations = {kDelegation}};
+  const auto read = DecodeView(Encode(view));
+  cr_assert(read.has_value());
+  cr_assert(read->delegations == view.delegations);
+  cr_assert_eq(read->mirrors.size(), 1);
+  cr_assert_eq(read->mirrors[0].prefix, "op/");
+  cr_assert_eq(read->mirrors[0].revision, 8);
+  cr_assert(read->mirrors[0].items == view.mirrors[0].items);
+  cr_assert(!DecodeView("[]"));
+  cr_assert(!DecodeView(R"({"mirrors":[{}],"delegations":[]})"));
+}
+
 // Guards against a crash, or a command that is taken, by a text of another
 // form.
 Test(peer_messages, texts_of_another_form_are_nothing) {
--- a/tests/platform_rig.cc
+++ b/tests/platform_rig.cc
@@ -41,22 +41,29 @@
   const std::size_t number = nodes_.size();
   const Address any{.host = "127.0.0.1", .port = 0};
   nodes_.emplace_back();
-  RunningNode& running = nodes_.back();
+  nodes_.back().settings = {.instance = "n" + std::to_string(number),
+                            .failure_domain = domain,
+                            .failure_domains = {"ghent", "antwerp"},
+                            .callers = any,
+                            .readiness = any,
+                            .peer = any,
+                            .metrics = any,
+                            .store = store.address()};
+  Launch(nodes_.back());
+  return number;
+}
+
+void PlatformRig::Launch(RunningNode& running) {
   running.store = std::make_unique<adapter::StoreClient>(
       loop.base(), adapter::StoreClientOptions{.address = store.address()});
-  running.node = std::make_unique<node::Node>(
-      loop.base(),
-      node::NodeSettings{.instance = "n" + std::to_string(number),
-                         .failure_domain = domain,
-                         .failure_domains = {"ghent", "antwerp"},
-                         .callers = any,
-                         .readiness = any,
-                         .peer = any,
-                         .metrics = any,
-                         .store = store.address()},
-      *running.store, dialect_);
+  running.node = std::make_unique<node::Node>(loop.base(), running.settings,
+                                              *running.store, dialect_);
+  running.settings.peer = running.node->keeper().OwnRecord().address;
   running.node->Start();
-  return number;
+}
+
+void PlatformRig::RestartNode(std::size_t node) {
+  Launch(nodes_[node]);
 }
 
 void PlatformRig::KillNode(std::size_t node) {
--- a/tests/platform_rig.h
+++ b/tests/platform_rig.h
@@ -25,6 +25,8 @@
 
   // Starts a node; returns its number.
   std::size_t AddNode(const std::string& domain = "ghent");
+  // Starts a node that was killed again, at the same address for its peers.
+  void RestartNode(std::size_t node);
   // Ends a node as a kill does: its sockets close, and nothing is said.
   void KillNode(std::size_t node);
   node::Node& node(std::size_t number) { return *nodes_[number].node; }
@@ -65,6 +67,7 @@
 
  private:
   struct RunningNode {
+    node::NodeSettings settings;
     std::unique_ptr<adapter::StoreClient> store;
     std::unique_ptr<node::Node> node;
   };
@@ -73,6 +76,8 @@
     std::string body;
   };
 
+  void Launch(RunningNode& running);
+
   adapter::PlatformDialect dialect_;
   std::vector<RunningNode> nodes_;
   std::map<std::string, Answer> answers_;
