Let instances as large as the last holder take a command without delay

Cause: a node waits up to 150 ms for larger ones before it takes a command, by its share of a processor against half of one. After a power loss every node of a site of quarter processors waited 75 ms for nodes that it does not have; its callers are back by then and are refused with no_upstream.

Change: the share of the last holder, if it is known, is the size to wait for.

--- a/src/command/election.cc
+++ b/src/command/election.cc
@@ -1,5 +1,7 @@
 #include "command/election.h"
 
+#include <algorithm>
+
 namespace jaypick::command {
 
 std::string_view ToString(HolderState state) {
@@ -18,6 +20,18 @@
   return "silent";
 }
 
+Duration SizeDelay(const SizeDelayOptions& options,
+                   double processor_share,
+                   std::optional<double> last_holder_share) {
+  const bool is_last_known = last_holder_share && *last_holder_share > 0;
+  const double wanted = is_last_known
+                            ? std::min(*last_holder_share, options.full_share)
+                            : options.full_share;
+  const double missing = 1 - std::min(processor_share, wanted) / wanted;
+  return Duration(static_cast<Duration::rep>(
+      missing * static_cast<double>(options.longest.count())));
+}
+
 bool ShouldTakeCommand(const ElectionOptions& options,
                        const ElectionView& view) {
   if (view.is_draining || view.is_holder) {
--- a/src/command/election.h
+++ b/src/command/election.h
@@ -2,6 +2,7 @@
 #ifndef JAYPICK_COMMAND_ELECTION_H_
 #define JAYPICK_COMMAND_ELECTION_H_
 
+#include <optional>
 #include <string_view>
 
 #include "jaypick/time.h"
@@ -55,6 +56,19 @@
   Duration path_proof = std::chrono::milliseconds(700);
 };
 
+struct SizeDelayOptions {
+  // Instances with such a part of a processor go first if no holder is known.
+  double full_share = 0.5;
+  // Wait of an instance with no processor at all.
+  Duration longest = std::chrono::milliseconds(150);
+};
+
+// Wait by which smaller instances leave a command to larger ones. An instance
+// as large as the last holder need not wait: the domain has done with its size.
+Duration SizeDelay(const SizeDelayOptions& options,
+                   double processor_share,
+                   std::optional<double> last_holder_share);
+
 // True if the instance should try to take the command now.
 //
 // A command whose holder is known to live is left alone even without a record:
--- a/src/node/keeper.h
+++ b/src/node/keeper.h
@@ -144,7 +144,7 @@
   void Lose(const std::string& failure_domain, std::string_view cause);
   void RetireLost();
   bool IsOwn(const CommandRecord& record) const;
-  Duration Rank() const;
+  Duration Rank(const std::string& failure_domain) const;
 
   Runtime& runtime_;
   const NodeSettings& settings_;
--- a/src/node/keeper_claims.cc
+++ b/src/node/keeper_claims.cc
@@ -23,9 +23,6 @@
 constexpr Duration kPathBreak = std::chrono::milliseconds(500);
 // Upstreams that are asked whether they can be reached before a claim.
 constexpr std::size_t kProbes = 3;
-// Instances with half a processor or more go first.
-constexpr double kFullShare = 0.5;
-constexpr Duration kSmallInstanceDelay = std::chrono::milliseconds(150);
 constexpr std::size_t kRankSpreadMs = 40;
 // At the first start of all, instances come up within 300 ms in any order, and
 // there is time to let the larger ones go first.
@@ -33,13 +30,14 @@
 
 }  // namespace
 
-Duration Keeper::Rank() const {
-  const double missing =
-      1 - std::min(settings_.processor_share, kFullShare) / kFullShare;
+Duration Keeper::Rank(const std::string& failure_domain) const {
+  const CommandRecord* const holder = peers_.Holder(failure_domain);
   const std::size_t spread =
       std::hash<std::string>()(settings_.instance) % kRankSpreadMs;
-  return Duration(static_cast<Duration::rep>(
-             missing * static_cast<double>(kSmallInstanceDelay.count()))) +
+  return command::SizeDelay({}, settings_.processor_share,
+                            holder == nullptr
+                                ? std::nullopt
+                                : std::optional(holder->processor_share)) +
          std::chrono::milliseconds(spread);
 }
 
@@ -89,8 +87,9 @@
       .holder = state,
       .since = since,
       .path = PathOf(failure_domain, now),
-      .rank =
-          state == HolderState::kNone ? Rank() * kFirstStartFactor : Rank()};
+      .rank = state == HolderState::kNone
+                  ? Rank(failure_domain) * kFirstStartFactor
+                  : Rank(failure_domain)};
   if (command::ShouldTakeCommand({}, election)) {
     claiming_[failure_domain] = now;
     if (const CommandRecord* const holder = peers_.Holder(failure_domain);
--- a/tests/election_test.cc
+++ b/tests/election_test.cc
@@ -81,6 +81,21 @@
   }
 }
 
+// Guards against a domain that waits for larger instances which it does not
+// have: after a power loss all instances of a site are as small as its last
+// holder.
+Test(election, instance_as_large_as_the_last_holder_does_not_wait) {
+  const auto delay = [](double own, std::optional<double> last) {
+    return SizeDelay({}, own, last);
+  };
+  cr_assert_eq(delay(0.2, 0.2), Duration(0));
+  cr_assert_eq(delay(0.3, 0.2), Duration(0));
+  cr_assert_eq(delay(0.5, 2.0), Duration(0));
+  cr_assert_eq(delay(0.25, 0.5), milliseconds(75));
+  cr_assert_eq(delay(0.25, std::nullopt), milliseconds(75));
+  cr_assert_eq(delay(0.25, 0.0), milliseconds(75));
+}
+
 DomainView View(const char* name, Duration wait, bool is_home = false) {
   return {.failure_domain = name,
           .is_home = is_home,
