Make the event loop and read settings files in one place; lease expiry, restarts

Change: daemon/event_base, ReadText in settings/located_json, lease_expiry_ms, 'restarted' as the cause in logs, and a capture by name. No behaviour changes but the cause's text.

--- a/cmake/node.cmake
+++ b/cmake/node.cmake
@@ -23,7 +23,7 @@
 endfunction()
 
 jaypick_node_library(jaypick_log SOURCES src/daemon/log.cc
-  src/daemon/log_sink.cc src/daemon/clock.cc
+  src/daemon/log_sink.cc src/daemon/clock.cc src/daemon/event_base.cc
   LINK jaypick_easylogging nlohmann_json::nlohmann_json PkgConfig::LIBEVENT)
 jaypick_node_library(jaypick_located_json SOURCES src/settings/located_json.cc
   LINK nlohmann_json::nlohmann_json)
--- a/src/command/upstream_session.cc
+++ b/src/command/upstream_session.cc
@@ -44,7 +44,7 @@
 
 // The estimate of the upstream's clock is never ahead of it: the clock was read
 // before the answer arrived. So the lease ends no later than meant.
-std::int64_t UpstreamSession::LeaseUntil(TimePoint now) {
+std::int64_t UpstreamSession::LeaseExpiry(TimePoint now) {
   return *clock_ms_ + ToMilliseconds(now - clock_read_) +
          ToMilliseconds(options_.longest_lease);
 }
@@ -68,7 +68,7 @@
                 .wait = wait,
                 .is_recovery = is_recovery};
   if (extends_lease && clock_ms_) {
-    look.lease_until_ms = LeaseUntil(now);
+    look.lease_expiry_ms = LeaseExpiry(now);
     NoteLease(now);
   }
   acknowledged_sent_ = acknowledged_;
@@ -87,7 +87,7 @@
                         .run = run,
                         .payload = std::move(payload),
                         .token = token_,
-                        .lease_until_ms = LeaseUntil(now)};
+                        .lease_expiry_ms = LeaseExpiry(now)};
   NoteLease(now);
   runs_[run] = Run{};
   starts_[start.call] = {.run = run, .token = token_};
@@ -126,7 +126,7 @@
   const bool is_other_life = stamp.started_unix_ms && started_unix_ms_ &&
                              *stamp.started_unix_ms != *started_unix_ms_;
   if (is_other_life) {
-    ForgetLife("reborn", outputs);
+    ForgetLife("restarted", outputs);
   }
   if (result == OrderResult::kFenced && token >= token_) {
     EndAllRuns(TaskEnd::kTakenOver, "fenced", outputs);
@@ -167,8 +167,8 @@
       (started_unix_ms_ && *started_unix_ms_ >= started_unix_ms)) {
     return;
   }
-  ForgetLife("reborn", outputs);
-  ChangeState(State::kTakingOver, "reborn", outputs);
+  ForgetLife("restarted", outputs);
+  ChangeState(State::kTakingOver, "restarted", outputs);
   started_unix_ms_ = started_unix_ms;
   clock_ms_.reset();
   starts_.clear();
--- a/src/command/upstream_session.h
+++ b/src/command/upstream_session.h
@@ -84,7 +84,7 @@
   std::string payload;
   std::uint64_t token = 0;
   // On the upstream's clock.
-  std::int64_t lease_until_ms = 0;
+  std::int64_t lease_expiry_ms = 0;
 };
 
 struct StopCall {
@@ -99,7 +99,7 @@
   // Ends up to this number have been taken over.
   std::uint64_t acknowledged = 0;
   // Absent: leases are not extended.
-  std::optional<std::int64_t> lease_until_ms;
+  std::optional<std::int64_t> lease_expiry_ms;
   // The upstream may hold its answer for so long until something ends.
   Duration wait{0};
   // Sent on a connection of its own, as the usual one may have gone silent.
@@ -233,7 +233,7 @@
     std::uint64_t token = 0;
   };
 
-  std::int64_t LeaseUntil(TimePoint now);
+  std::int64_t LeaseExpiry(TimePoint now);
   void NoteLease(TimePoint now);
   void SendLook(TimePoint now,
                 Duration wait,
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -2,15 +2,14 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
-#include <event2/event.h>
 
 #include <cstdio>
 #include <exception>
 #include <iostream>
-#include <memory>
 #include <string>
 #include <variant>
 
+#include "daemon/event_base.h"
 #include "daemon/kernel.h"
 #include "daemon/log.h"
 #include "daemon/store.h"
@@ -24,27 +23,11 @@
 constexpr int kFailed = 1;
 constexpr int kInvalid = 2;
 
-using EventBase = std::unique_ptr<event_base, void (*)(event_base*)>;
-
-// Timers of the default clock are off by up to 4 ms, several times the entry's
-// whole overhead.
-EventBase MakeBase() {
-  event_config* const config = event_config_new();
-  event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
-  // evhttp switches reading and writing for each message; the changes that
-  // cancel each other within a round cost no system call. No descriptor is
-  // duplicated, which this mode does not support.
-  event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
-  EventBase base(event_base_new_with_config(config), event_base_free);
-  event_config_free(config);
-  return base;
-}
-
 int Run(const jaypick::Settings& settings) {
   using jaypick::daemon::LogEvent;
   using jaypick::daemon::LogLevel;
   jaypick::daemon::StartLog(jaypick::daemon::ParseLogLevel(settings.log_level));
-  const auto base = MakeBase();
+  const auto base = jaypick::daemon::MakeEventBase();
   try {
     jaypick::daemon::Kernel kernel(base.get(), settings,
                                    jaypick::daemon::MakeEtcdStore);
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -2,8 +2,6 @@
 
 #include <charconv>
 #include <cmath>
-#include <fstream>
-#include <iterator>
 #include <utility>
 
 #include "settings/located_json.h"
@@ -152,15 +150,11 @@
 }
 
 NodeSettingsResult LoadNodeSettings(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) {
-    return Findings{{.region = {.source = path, .line = 0, .column = 0},
-                     .key = "",
-                     .message = "cannot be read"}};
+  const auto text = ReadText(path);
+  if (const auto* const findings = std::get_if<Findings>(&text)) {
+    return *findings;
   }
-  const std::string text((std::istreambuf_iterator<char>(file)),
-                         std::istreambuf_iterator<char>());
-  return ParseNodeSettings(text, path);
+  return ParseNodeSettings(std::get<std::string>(text), path);
 }
 
 }  // namespace jaypick::node
--- a/src/node/view_exchange.cc
+++ b/src/node/view_exchange.cc
@@ -109,7 +109,7 @@
         peer.record.address,
         {.method = http::Method::kPost, .path = kViewPath, .body = body},
         kViewTimeout,
-        [this, instance, heard = peer.heard,
+        [this, instance = instance, heard = peer.heard,
          alive = is_alive_](const http::ClientResult& result) {
           if (!*alive) {
             return;
--- a/src/schedule/fleet.cc
+++ b/src/schedule/fleet.cc
@@ -62,9 +62,9 @@
     states_.emplace_back();
   }
   State& state = states_[it->second];
-  const bool is_reborn =
+  const bool has_restarted =
       !is_new && state.upstream.started_unix_ms != upstream.started_unix_ms;
-  if (is_reborn) {
+  if (has_restarted) {
     state.failures_in_row = 0;
     state.ejections = 0;
     state.ejected_until = TimePoint();
--- a/src/settings/located_json.cc
+++ b/src/settings/located_json.cc
@@ -1,6 +1,8 @@
 #include "settings/located_json.h"
 
 #include <algorithm>
+#include <fstream>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -212,4 +214,16 @@
   return result;
 }
 
+std::variant<std::string, Findings> ReadText(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return Findings{{.region = {.source = path, .line = 0, .column = 0},
+                     .key = "",
+                     .message = "cannot be read"}};
+  }
+  const std::string text((std::istreambuf_iterator<char>(file)),
+                         std::istreambuf_iterator<char>());
+  return text;
+}
+
 }  // namespace jaypick
--- a/src/settings/located_json.h
+++ b/src/settings/located_json.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <variant>
 
 #include <nlohmann/json.hpp>
 
@@ -26,6 +27,9 @@
   const SourceRegion& Region(const std::string& pointer) const;
 };
 
+// The whole text of a file, or a finding if it cannot be read.
+std::variant<std::string, Findings> ReadText(const std::string& path);
+
 // Parses `text`. `source` names it in regions.
 LocatedJson ParseLocated(std::string_view text, const std::string& source);
 
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <fstream>
 #include <iterator>
 #include <set>
 #include <utility>
@@ -242,15 +241,11 @@
 }
 
 SettingsResult LoadSettings(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) {
-    return Findings{{.region = {.source = path, .line = 0, .column = 0},
-                     .key = "",
-                     .message = "cannot be read"}};
+  const auto text = ReadText(path);
+  if (const auto* const findings = std::get_if<Findings>(&text)) {
+    return *findings;
   }
-  const std::string text((std::istreambuf_iterator<char>(file)),
-                         std::istreambuf_iterator<char>());
-  return ParseSettings(text, path);
+  return ParseSettings(std::get<std::string>(text), path);
 }
 
 }  // namespace jaypick
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -269,7 +269,7 @@
       return Note(name + " hangs", [&] { upstream.Hang(false); });
     default:
       upstream.Reincarnate();
-      return Note(name + " reborn");
+      return Note(name + " restarted");
   }
 }
 
--- a/tests/upstream_session_test.cc
+++ b/tests/upstream_session_test.cc
@@ -96,7 +96,7 @@
 Test(upstream_session, runs_of_a_predecessor_are_stopped_first) {
   Rig rig;
   const LookCall look = *rig.Take<LookCall>();
-  cr_assert(!look.lease_until_ms, "a look extends the leases of others");
+  cr_assert(!look.lease_expiry_ms, "a look extends the leases of others");
   rig.Answer(look, {Run(0)});
   cr_assert(!rig.session.is_ready());
   cr_assert_eq(rig.Take<StopCall>()->run, Run(0));
@@ -110,7 +110,7 @@
   Rig rig;
   rig.BecomeReady();
   const StartCall start = rig.Start(Run(0));
-  cr_assert_leq(start.lease_until_ms, rig.clock() + 1000);
+  cr_assert_leq(start.lease_expiry_ms, rig.clock() + 1000);
   cr_assert_geq(rig.session.lease_bound(), rig.now + milliseconds(1020));
 }
 
@@ -253,7 +253,7 @@
   cr_assert(!rig.Take<LookCall>());
   rig.Pass(std::chrono::seconds(1));
   const auto look = rig.Take<LookCall>();
-  cr_assert(look && look->acknowledged == 1 && !look->lease_until_ms);
+  cr_assert(look && look->acknowledged == 1 && !look->lease_expiry_ms);
 }
 
 }  // namespace
