Ignore SIGPIPE in test processes

Programs and test processes with a node ignore the signal, this one did not.

Ruled out: a fault of the node (its processes ended as told) and of the sanitizer (no report).

Change: the tests' event loop ignores the signal.

Test: event_loop/write_to_a_closed_peer_is_an_error ends by the same signal without the mend, passes with it.

Conclusion: the failure is traced; no check or bound was changed.

--- a/tests/event_loop.cc
+++ b/tests/event_loop.cc
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <csignal>
 
 namespace jaypick::testing {
 namespace {
@@ -40,7 +41,10 @@
 
 }  // namespace
 
-EventLoop::EventLoop() : base_(event_base_new()) {}
+EventLoop::EventLoop() : base_(event_base_new()) {
+  // A peer that closes while a stand-in writes is an error code, not a signal.
+  std::signal(SIGPIPE, SIG_IGN);
+}
 
 EventLoop::~EventLoop() {
   // Buffer events are finalised by the loop.
