Write the last log lines of a process when it ends

Cause: the sink wrote pending lines only together with the next line, so those behind a slow reader at the exit were lost, the most wanted ones. Change: the destructor writes what is left and waits up to 50 ms at a time for a reader that takes something. Test: log_sink/last_lines_are_written_at_the_end. It was not run on the old code.

--- a/src/daemon/log_sink.cc
+++ b/src/daemon/log_sink.cc
@@ -1,11 +1,19 @@
 #include "daemon/log_sink.h"
 
 #include <fcntl.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <utility>
 
 namespace jaypick::daemon {
+namespace {
+
+// The last lines of a process are written within this time and number of tries.
+constexpr int kFinalWaitMs = 50;
+constexpr int kMaxFinalWaits = 20;
+
+}  // namespace
 
 LogSink::LogSink(int descriptor, std::size_t limit_bytes)
     : descriptor_(descriptor), limit_bytes_(limit_bytes) {
@@ -16,6 +24,17 @@
   }
 }
 
+LogSink::~LogSink() {
+  Flush();
+  for (int wait = 0; wait < kMaxFinalWaits && !pending_.empty(); ++wait) {
+    pollfd writable{.fd = descriptor_, .events = POLLOUT, .revents = 0};
+    if (::poll(&writable, 1, kFinalWaitMs) <= 0) {
+      return;
+    }
+    Flush();
+  }
+}
+
 void LogSink::Write(const std::string& line) {
   if (pending_.size() + line.size() + 1 > limit_bytes_) {
     Flush();
--- a/src/daemon/log_sink.h
+++ b/src/daemon/log_sink.h
@@ -15,6 +15,10 @@
  public:
   // Makes `descriptor` non-blocking.
   LogSink(int descriptor, std::size_t limit_bytes);
+  // Writes what is left. Waits for a slow reader, but not for a stalled one.
+  ~LogSink();
+  LogSink(const LogSink&) = delete;
+  LogSink& operator=(const LogSink&) = delete;
 
   // Appends `line` to the buffer and writes as much as the descriptor accepts.
   void Write(const std::string& line);
--- a/tests/log_sink_test.cc
+++ b/tests/log_sink_test.cc
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <sstream>
 #include <string>
+#include <thread>
 
 #include "cli/commands.h"
 
@@ -37,6 +38,36 @@
   cr_assert_eq(sink.pending_bytes(), 0);
 }
 
+// Guards against losing the last lines of a process, which show why it ended,
+// because its reader was slow until then.
+Test(log_sink, last_lines_are_written_at_the_end) {
+  std::array<int, 2> pipe_ends{};
+  cr_assert_eq(::pipe(pipe_ends.data()), 0);
+  std::string text;
+  std::thread reader;
+  {
+    LogSink sink(pipe_ends[1], std::size_t{1} << 20);
+    const std::string line(100, 'x');
+    while (sink.pending_bytes() == 0) {
+      sink.Write(line);
+    }
+    sink.Write("the last line");
+    reader = std::thread([&] {
+      std::string buffer(1 << 16, '\0');
+      while (text.find("the last line") == std::string::npos) {
+        const ssize_t size = ::read(pipe_ends[0], buffer.data(), buffer.size());
+        if (size <= 0) {
+          return;
+        }
+        text.append(buffer, 0, static_cast<std::size_t>(size));
+      }
+    });
+  }
+  ::close(pipe_ends[1]);
+  reader.join();
+  cr_assert(text.find("the last line") != std::string::npos);
+}
+
 // Guards against lines of other jobs in the output, and against an order by
 // file instead of by time.
 Test(log_sink, explain_joins_the_lines_of_one_job) {
