Forget the upstream that left first, not the first in the alphabet

Cause: above 10,000 names of leaving upstreams the pool forgot the first in the alphabet, so one that had left a moment ago could be used again. Change: names are forgotten in the order in which they left. Test: upstream_pool/recently_leaving_upstream_is_remembered_among_many (not run on the old code).

--- a/include/jaypick/internal/upstream_pool.h
+++ b/include/jaypick/internal/upstream_pool.h
@@ -3,6 +3,7 @@
 #define JAYPICK_INTERNAL_UPSTREAM_POOL_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -203,6 +204,8 @@
   std::map<std::string, UpstreamNumber> by_name_;
   // Newest generation known to be leaving, by name; includes removed upstreams.
   std::map<std::string, std::uint64_t> leaving_generations_;
+  // The same names, those known for longest first.
+  std::deque<std::string> leaving_names_;
   Interner service_names_;
   std::vector<ServiceState> services_;
   PenaltyHeap penalties_;
--- a/src/placement/upstream_list.cc
+++ b/src/placement/upstream_list.cc
@@ -80,8 +80,12 @@
 void UpstreamPool::MarkLeaving(UpstreamNumber number) {
   UpstreamIdentity& identity = identities_[number];
   identity.is_leaving = true;
-  std::uint64_t& generation = leaving_generations_[identity.name];
-  generation = std::max(generation, identity.generation);
+  const auto [it, is_new] =
+      leaving_generations_.emplace(identity.name, identity.generation);
+  if (is_new) {
+    leaving_names_.push_back(identity.name);
+  }
+  it->second = std::max(it->second, identity.generation);
 }
 
 UpstreamNumber UpstreamPool::AllocateNumber() {
@@ -106,7 +110,8 @@
   identities_[number].is_listed = false;
   by_name_.erase(identities_[number].name);
   if (leaving_generations_.size() > kMaxLeavingGenerations) {
-    leaving_generations_.erase(leaving_generations_.begin());
+    leaving_generations_.erase(leaving_names_.front());
+    leaving_names_.pop_front();
   }
   FreeNumberIfUnused(number);
 }
--- a/tests/upstream_pool_test.cc
+++ b/tests/upstream_pool_test.cc
@@ -298,6 +298,32 @@
   }
 }
 
+// Guards against a leaving upstream that is used again because more recent ones
+// have left since: of very many names, the oldest is forgotten, not the first
+// in the alphabet.
+Test(upstream_pool, recently_leaving_upstream_is_remembered_among_many) {
+  Fixture f(1);
+  const Instance template_instance = f.list.instances[0];
+  constexpr int kMany = 10'050;
+  for (int number = 0; number < kMany; ++number) {
+    Instance instance = template_instance;
+    // The last names are the first in the alphabet.
+    instance.name = std::to_string(100'000 - number);
+    instance.state = InstanceState::kLeaving;
+    f.list.instances = {instance};
+    f.Apply();
+  }
+  f.list.instances[0].state = InstanceState::kLive;
+  f.Apply();
+  f.list.instances.clear();
+  f.Apply();
+  Instance last = template_instance;
+  last.name = std::to_string(100'000 - (kMany - 1));
+  f.list.instances = {last};
+  f.Apply();
+  cr_assert(!f.Choose(), "the upstream has left in this generation");
+}
+
 // Guards against recording the end of an attempt for another upstream that has
 // got the same number.
 Test(upstream_pool, number_stays_while_attempts_are_in_flight) {
