Spread the return of callers that are refused together

Cause: the jitter of Retry-After hashed the time only, so all jobs refused in one pass of load shedding came back together; and the limit of 5 s cut the jitter off: in the new test 128 of 128 refused callers were told 5,000 ms. Change: the jitter is that of the job, over once to twice the expected wait, which is limited to half of the longest retry. Test: load_pattern/callers_refused_at_once_return_spread_over_the_wait, which failed with the limit as it was.

--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -391,7 +391,8 @@
                      RefusalReason reason,
                      Actions& actions) {
   if (job.starts == 0) {
-    EndJob(now, job, Refused{.reason = reason, .retry_after = RetryAfter(now)},
+    EndJob(now, job,
+           Refused{.reason = reason, .retry_after = RetryAfter(now, job)},
            actions);
     return;
   }
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -156,7 +156,7 @@
   Forecast MakeForecast(TimePoint now) const;
   TimePoint ExpectedEnd(TimePoint now, const Running& run) const;
   void Refuse(TimePoint now, Job& job, RefusalReason reason, Actions& actions);
-  Duration RetryAfter(TimePoint now) const;
+  Duration RetryAfter(TimePoint now, const Job& job) const;
 
   // Runs of tasks (scheduler.cc, scheduler_retries.cc).
   HealthSignal HealthOf(const Job& job, const Task& task, RunOutcome outcome);
--- a/src/schedule/scheduler_admission.cc
+++ b/src/schedule/scheduler_admission.cc
@@ -292,26 +292,31 @@
             " left_ms=" + std::to_string(ToMilliseconds(job.deadline - now)) +
             " queued=" + std::to_string(waiting_) + " served_part=" +
             std::to_string(served_fractions_.ServedFraction(job.job_class)));
-  EndJob(now, job, Refused{.reason = reason, .retry_after = RetryAfter(now)},
+  EndJob(now, job,
+         Refused{.reason = reason, .retry_after = RetryAfter(now, job)},
          actions);
 }
 
 // Returns the time after which the work that is waiting now is expected to have
 // started, plus a jitter so that callers do not all retry at once.
-Duration Scheduler::RetryAfter(TimePoint now) const {
+Duration Scheduler::RetryAfter(TimePoint now, const Job& job) const {
   Forecast forecast = MakeForecast(now);
-  for (const Job& job : queue_) {
-    for (const StepState& step : job.steps) {
+  for (const Job& queued : queue_) {
+    for (const StepState& step : queued.steps) {
       forecast.Add(step.waiting, step.predicted);
     }
   }
   const TimePoint free = forecast.next_free();
-  const Duration wait = free == TimePoint::max() ? kLongestRetry : free - now;
-  const auto jitter = static_cast<Duration::rep>(
-      std::hash<std::uint64_t>()(
-          static_cast<std::uint64_t>(now.time_since_epoch().count())) %
-      1000);
-  return std::clamp(wait + wait * jitter / 1000, kShortestRetry, kLongestRetry);
+  // Between once and twice this time, so that the longest waits and the
+  // shortest ones are spread as well.
+  const Duration wait =
+      free == TimePoint::max()
+          ? kLongestRetry / 2
+          : std::clamp(free - now, kShortestRetry, kLongestRetry / 2);
+  // One pass of load shedding refuses many jobs at the same time.
+  const auto jitter =
+      static_cast<Duration::rep>(std::hash<std::string>()(job.spec.id) % 1000);
+  return wait + wait * jitter / 1000;
 }
 
 LoadReport Scheduler::Load(TimePoint now) const {
--- a/tests/load_pattern_test.cc
+++ b/tests/load_pattern_test.cc
@@ -111,6 +111,33 @@
   int sent = 0;
 };
 
+// Guards against callers that were refused together and return together, so
+// that they are refused together again.
+Test(load_pattern, callers_refused_at_once_return_spread_over_the_wait) {
+  SchedulerRig rig;
+  for (const char* const id : {"u1", "u2"}) {
+    rig.AddUpstream(id, 16000);
+  }
+  for (int job = 0; job < 200; ++job) {
+    rig.Submit("job-" + std::to_string(job), Kind("hold", 1), 2, 6800,
+               milliseconds(200), milliseconds(1500));
+  }
+  rig.RunFor(milliseconds(100));
+  std::map<Duration, int> returns;
+  int refused = 0;
+  for (const auto& [id, result] : rig.results) {
+    if (const auto* const refusal = std::get_if<Refused>(&result.outcome)) {
+      ++refused;
+      ++returns[refusal->retry_after / milliseconds(10) * milliseconds(10)];
+    }
+  }
+  cr_assert_geq(refused, 100);
+  for (const auto& [time, count] : returns) {
+    cr_assert_leq(count, refused / 3, "%d of %d return at %lld ms", count,
+                  refused, static_cast<long long>(ToMilliseconds(time)));
+  }
+}
+
 // 150 % load: guards against queues in which all jobs become late. Shedding
 // must complete at least twice as many jobs on time as waiting.
 Test(load_pattern, overload_is_shed_at_arrival_not_at_the_deadline) {
