Reject ports of a node's settings that do not fit

Cause: the result of the number parser was checked for its end only, so a port above 65535 was taken as 0. Test: settings/ports_and_times_of_a_node_are_checked (not run on the old code).

--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -55,9 +55,9 @@
     std::uint16_t port = 0;
     const char* const begin = text.data() + colon + 1;
     const char* const end = text.data() + text.size();
+    const auto [parsed_end, error] = std::from_chars(begin, end, port);
     const bool is_valid = colon != std::string::npos && colon > 0 &&
-                          std::from_chars(begin, end, port).ptr == end &&
-                          begin != end;
+                          error == std::errc() && parsed_end == end;
     if (!is_valid) {
       Add(pointer, "must be an IP address and a port, like 10.0.0.1:80");
       return;
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <variant>
 
+#include "node/settings.h"
 #include "settings/settings.h"
 
 namespace jaypick {
@@ -131,5 +132,32 @@
             "no/such/file: cannot be read");
 }
 
+// Guards against a port that wraps around or counts as 0, and against a notice
+// of upstreams that is not taken over.
+Test(settings, ports_and_times_of_a_node_are_checked) {
+  const std::string text = R"({
+  "instance": {"name": "n1", "failure_domain": "ghent"},
+  "failure_domains": ["ghent"],
+  "listen": {
+    "callers": "127.0.0.1:7001",
+    "readiness": "127.0.0.1:7002",
+    "peer": "127.0.0.1:7003",
+    "metrics": "127.0.0.1:7004"
+  },
+  "store": "127.0.0.1:7005",
+  "times": {"upstream_notice_ms": 4000}
+})";
+  const auto good = node::ParseNodeSettings(text, "n.json");
+  const auto* const settings = std::get_if<node::NodeSettings>(&good);
+  cr_assert_not_null(settings);
+  cr_assert(settings->upstream_notice == std::chrono::milliseconds(4000));
+  for (const char* const port : {"70010", "-1", "", "7001x", "65536"}) {
+    const auto bad = node::ParseNodeSettings(
+        Replace(text, "127.0.0.1:7001", std::string("127.0.0.1:") + port),
+        "n.json");
+    cr_assert(std::holds_alternative<Findings>(bad), "%s", port);
+  }
+}
+
 }  // namespace
 }  // namespace jaypick
