Elect leaders sooner after faults, and hand domains to the instance that asked

Change: a node reads upstreams when it leads or is about to claim a domain. A resigning leader names its successor; others wait 500 ms longer. Reachability is checked while the record still stands. Nodes of other domains that lead nothing wait 2 s longer. A predecessor counts as silent after 1.5 s. Jobs that arrive within 2 s of the start wait up to 250 ms for the leader of their domain (src/control/leader_wait). HTTP errors say whether they were a timeout.

Tests, failed first: peers/request_is_cancelled_when_its_response_has_been_read.

--- a/include/jaypick/key_value_store.h
+++ b/include/jaypick/key_value_store.h
@@ -34,8 +34,6 @@
   bool keys_only = false;
   // If true, keys are returned in descending order.
   bool descending = false;
-  // If true, the result may be seconds old.
-  bool allows_stale = false;
 };
 
 struct PutRequest {
--- a/src/control/election.cc
+++ b/src/control/election.cc
@@ -33,19 +33,27 @@
       missing_fraction * static_cast<double>(options.longest.count())));
 }
 
+Duration ElectionDelay(const ElectionOptions& options,
+                       const ElectionInput& input) {
+  if (input.is_in_domain) {
+    return options.in_domain_delay + input.rank_delay;
+  }
+  const Duration outsider_delay =
+      input.leads_other_domain ? Duration(0) : options.outsider_delay;
+  return options.other_domain_delay + outsider_delay + input.rank_delay;
+}
+
 bool ShouldTakeLeadership(const ElectionOptions& options,
                           const ElectionInput& input) {
   if (input.is_draining || input.is_leader) {
     return false;
   }
-  const Duration delay = (input.is_in_domain ? options.in_domain_delay
-                                             : options.other_domain_delay) +
-                         input.rank_delay;
+  const Duration delay = ElectionDelay(options, input);
   switch (input.leader_state) {
     case LeaderState::kAlive:
       return false;
     case LeaderState::kSilent:
-      return !input.has_record &&
+      return !input.has_record && input.record_absent_for >= delay &&
              input.reachable_for >= options.min_reachable_time &&
              input.state_age >= delay + options.silent_delay;
     case LeaderState::kLeaving:
@@ -54,7 +62,7 @@
     case LeaderState::kNone:
       break;
   }
-  return !input.has_record && input.state_age >= delay;
+  return !input.has_record && input.record_absent_for >= delay;
 }
 
 }  // namespace jaypick::control
--- a/src/control/election.h
+++ b/src/control/election.h
@@ -32,12 +32,15 @@
   bool is_draining = false;
   // This instance leads the domain.
   bool is_leader = false;
+  // This instance leads another domain.
+  bool leads_other_domain = false;
   // The store has a leader record for the domain.
   bool has_record = false;
   LeaderState leader_state = LeaderState::kNone;
-  // Time since the leader record disappeared, or since `leader_state` was first
-  // observed.
+  // Time since `leader_state` was first observed.
   Duration state_age{0};
+  // Time since the leader record disappeared.
+  Duration record_absent_for{0};
   // How long upstreams of the domain have responded to this instance without
   // interruption.
   Duration reachable_for{0};
@@ -51,9 +54,11 @@
   // over.
   Duration in_domain_delay = std::chrono::milliseconds(50);
   Duration other_domain_delay = std::chrono::milliseconds(300);
-  // Additional delay if the record has disappeared while the leader does not
-  // respond: the record's lease may have expired although the leader still
-  // runs.
+  // Additional delay of instances of other domains that lead nothing. They
+  // would have to read the list of upstreams first, all at the same time.
+  Duration outsider_delay = std::chrono::seconds(2);
+  // Additional time for which a leader has to be silent: the record's lease may
+  // have expired although the leader still runs.
   Duration silent_delay = std::chrono::milliseconds(500);
   // A leader that does not respond is replaced only if its domain has been
   // reachable for this long. Right after a partition has healed, the leader
@@ -78,6 +83,11 @@
                              double processor_share,
                              std::optional<double> last_leader_share);
 
+// Delay before this instance takes over, without the additional delay for a
+// silent leader.
+Duration ElectionDelay(const ElectionOptions& options,
+                       const ElectionInput& input);
+
 // Returns true if this instance should try to become the leader now.
 //
 // A leader that is known to be alive is not replaced even if its record is
--- /dev/null
+++ b/src/control/leader_wait.cc
@@ -0,0 +1,12 @@
+#include "control/leader_wait.h"
+
+namespace jaypick::control {
+
+bool ShouldWaitForLeader(const LeaderWaitOptions& options,
+                         const LeaderWaitInput& input) {
+  return input.uptime < options.longest_uptime &&
+         input.waited < options.longest_wait &&
+         input.time_left > options.longest_wait;
+}
+
+}  // namespace jaypick::control
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -112,7 +112,7 @@
     }
     Call& call = *it->second;
     call.callback = [](const ClientResult&) {};
-    Abort(call, "cancelled");
+    Abort(call, {.not_sent = true, .message = "cancelled"});
   }
 
  private:
@@ -286,12 +286,13 @@
 
   static void OnTimeout(int /*socket*/, short /*what*/, void* context) {
     auto* const call = static_cast<Call*>(context);
-    call->client->Abort(*call, "timed out");
+    call->client->Abort(
+        *call, {.not_sent = true, .timed_out = true, .message = "timed out"});
   }
 
-  void Abort(Call& call, std::string message) {
+  // `error.not_sent` is kept only if no byte has been sent.
+  void Abort(Call& call, ClientError error) {
     Pool& pool = *call.pool;
-    ClientError error{.not_sent = true, .message = std::move(message)};
     if (call.connection != nullptr) {
       Connection& connection = *call.connection;
       error.not_sent =
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -21,6 +21,8 @@
 struct ClientError {
   // True only if no byte of the request was written.
   bool not_sent = false;
+  // No response arrived within the time limit.
+  bool timed_out = false;
   std::string message;
 };
 
--- a/src/node/caller_server.cc
+++ b/src/node/caller_server.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "control/leader_wait.h"
 #include "daemon/log.h"
 
 namespace jaypick::node {
@@ -27,6 +28,8 @@
 // `Retry-After` of refusals after a pause, during a shutdown and without a
 // leader. By then, the node is responsive again or a new leader is in place.
 constexpr Duration kRetryAfter = std::chrono::milliseconds(200);
+// Interval at which jobs that wait for a leader are tried again.
+constexpr Duration kParkedInterval = std::chrono::milliseconds(20);
 // Assumed queueing delay of a domain whose load has not been reported yet.
 // Prevents it from attracting all jobs until its first load report.
 constexpr Duration kAssumedWait = std::chrono::milliseconds(20);
@@ -53,6 +56,8 @@
       peers_(peers),
       leadership_manager_(leadership_manager),
       metrics_(metrics),
+      started_(runtime.Now()),
+      parked_timer_(runtime.base(), [this] { DispatchParkedJobs(); }),
       server_(runtime.base(),
               {.address = settings.callers,
                .body_limit_bytes = kBodyLimitBytes,
@@ -203,6 +208,13 @@
 void CallerServer::Dispatch(const std::string& id) {
   Job& job = jobs_.at(id);
   const auto domains = DomainCandidates();
+  if (MustWaitForLeader(job, domains)) {
+    if (parked_.empty()) {
+      parked_timer_.After(kParkedInterval);
+    }
+    parked_.push_back(id);
+    return;
+  }
   while (true) {
     const auto choice = control::ChooseDomain({}, domains, job.tried_domains);
     if (!choice) {
@@ -227,6 +239,27 @@
   }
 }
 
+bool CallerServer::MustWaitForLeader(
+    const Job& job,
+    const std::vector<control::DomainCandidate>& domains) {
+  const auto own = std::ranges::find_if(
+      domains, [](const auto& domain) { return domain.is_own_domain; });
+  const bool has_leader = own != domains.end() && own->is_reachable;
+  const TimePoint now = runtime_.Now();
+  return !has_leader && job.tried_domains.empty() &&
+         control::ShouldWaitForLeader({}, {.uptime = now - started_,
+                                           .waited = now - job.arrival,
+                                           .time_left = job.deadline - now});
+}
+
+void CallerServer::DispatchParkedJobs() {
+  for (const std::string& id : std::exchange(parked_, {})) {
+    if (jobs_.contains(id)) {
+      Dispatch(id);
+    }
+  }
+}
+
 void CallerServer::SubmitLocally(const std::string& id,
                                  Job& job,
                                  DomainLeader& domain_leader) {
--- a/src/node/caller_server.h
+++ b/src/node/caller_server.h
@@ -82,6 +82,10 @@
                const schedule::JobOutcome& outcome,
                const std::vector<schedule::TraceEntry>& trace);
   std::vector<control::DomainCandidate> DomainCandidates();
+  // True if the job has to wait for the leader of this instance's domain.
+  bool MustWaitForLeader(const Job& job,
+                         const std::vector<control::DomainCandidate>& domains);
+  void DispatchParkedJobs();
 
   Runtime& runtime_;
   const NodeSettings& settings_;
@@ -90,7 +94,11 @@
   Peers& peers_;
   LeadershipManager& leadership_manager_;
   NodeMetrics& metrics_;
+  TimePoint started_;
   std::map<std::string, Job> jobs_;
+  // Jobs that wait for a leader.
+  std::vector<std::string> parked_;
+  Timer parked_timer_;
   std::uint64_t last_waiter_ = 0;
   std::optional<TimePoint> refuse_from_;
   TimePoint answer_by_ = TimePoint::max();
--- a/src/node/leadership_claims.cc
+++ b/src/node/leadership_claims.cc
@@ -17,6 +17,14 @@
 
 // A claim without a result is retried after this time.
 constexpr Duration kClaimTimeout = std::chrono::milliseconds(1200);
+// A domain without upstreams is considered again after this time, but at each
+// change of the list while the system starts: upstreams may register after this
+// node has read the list.
+constexpr Duration kEmptyDomainInterval = std::chrono::seconds(5);
+constexpr Duration kSystemStartTime = std::chrono::seconds(10);
+// While a leader hands over to the instance that asked for it, other instances
+// wait, so that a domain does not change hands several times.
+constexpr Duration kSuccessorPrecedence = std::chrono::milliseconds(500);
 // When a response of the store shows that the mirror lags, the mirror is read
 // again; no claims are made for this time.
 constexpr Duration kRefreshWait = std::chrono::milliseconds(300);
@@ -33,20 +41,38 @@
 
 }  // namespace
 
-Duration LeadershipManager::RankDelay(const std::string& failure_domain) const {
+Duration LeadershipManager::RankDelay(const std::string& failure_domain,
+                                      LeaderState state) const {
   const LeaderRecord* const leader = peers_.LeaderOf(failure_domain);
   const std::size_t spread =
       std::hash<std::string>()(settings_.instance) % kRankSpreadMs;
-  return control::ProcessorShareDelay(
-             {}, settings_.processor_share,
-             leader == nullptr ? std::nullopt
-                               : std::optional(leader->processor_share)) +
-         std::chrono::milliseconds(spread);
+  const Duration delay =
+      control::ProcessorShareDelay(
+          {}, settings_.processor_share,
+          leader == nullptr ? std::nullopt
+                            : std::optional(leader->processor_share)) +
+      std::chrono::milliseconds(spread);
+  if (state == LeaderState::kNone) {
+    return delay * kFirstElectionFactor;
+  }
+  const LeadershipStatus* const status = peers_.Status(failure_domain);
+  const bool has_precedence = state != LeaderState::kLeaving ||
+                              status == nullptr || status->successor.empty() ||
+                              status->successor == settings_.instance;
+  return has_precedence ? delay : delay + kSuccessorPrecedence;
+}
+
+bool LeadershipManager::NeedsUpstreams(TimePoint now) const {
+  const bool is_writing_claim = std::ranges::any_of(
+      claims_,
+      [](const auto& claim) { return claim.second == TimePoint::max(); });
+  return !held_domains_.empty() || is_writing_claim ||
+         now < upstreams_wanted_until_;
 }
 
-bool LeadershipManager::IsClaiming() const {
-  return std::ranges::any_of(claims_, [](const auto& claim) {
-    return claim.second == TimePoint::max();
+bool LeadershipManager::HasUpstreams(const std::string& failure_domain) const {
+  return std::ranges::any_of(view_.upstreams(), [&](const auto& entry) {
+    return entry.second.failure_domain == failure_domain;
   });
 }
 
@@ -81,26 +107,38 @@
     return;
   }
   const LeaderState state = peers_.LeaderStateOf(failure_domain);
-  if (state == LeaderState::kSilent && !has_record && !is_draining_) {
-    ProbeReachability(failure_domain, now);
-  }
-  Duration since = peers_.LeaderStateAge(failure_domain);
-  if (!has_record) {
-    const Duration absent = now - record_absent_since_.at(failure_domain);
-    since = state == LeaderState::kNone ? absent : std::min(since, absent);
-  }
   const control::ElectionInput election{
       .is_in_domain = failure_domain == settings_.failure_domain,
       .is_draining = is_draining_,
       .is_leader = false,
+      .leads_other_domain = !held_domains_.empty(),
       .has_record = has_record,
       .leader_state = state,
-      .state_age = since,
+      .state_age = peers_.LeaderStateAge(failure_domain),
+      .record_absent_for = has_record
+                               ? Duration(0)
+                               : now - record_absent_since_.at(failure_domain),
       .reachable_for = ReachableFor(failure_domain, now),
-      .rank_delay = state == LeaderState::kNone
-                        ? RankDelay(failure_domain) * kFirstElectionFactor
-                        : RankDelay(failure_domain)};
+      .rank_delay = RankDelay(failure_domain, state)};
+  // The record may expire soon; by then, it should be known whether the domain
+  // is reachable.
+  if (state == LeaderState::kSilent && !is_draining_ &&
+      election.state_age >= control::ElectionDelay({}, election)) {
+    upstreams_wanted_until_ = now + kClaimTimeout;
+    ProbeReachability(failure_domain, now);
+  }
   if (control::ShouldTakeLeadership({}, election)) {
+    upstreams_wanted_until_ = now + kClaimTimeout;
+    view_.SetUpstreamsWatched(true);
+    if (!view_.has_read_upstreams()) {
+      return;
+    }
+    if (!HasUpstreams(failure_domain)) {
+      if (now - started_ >= kSystemStartTime) {
+        claims_[failure_domain] = now + kEmptyDomainInterval - kClaimTimeout;
+      }
+      return;
+    }
     claims_[failure_domain] = now;
     if (const LeaderRecord* const leader = peers_.LeaderOf(failure_domain);
         leader != nullptr && !IsOwn(*leader)) {
@@ -146,7 +184,6 @@
     const auto claim = claims_.find(failure_domain);
     if (claim != claims_.end() && claim->second != TimePoint::max()) {
       claim->second = TimePoint::max();
-      view_.SetUpstreamsWatched(true);
       ConfirmAndClaim(failure_domain, expected_revision, state);
     }
   });
@@ -159,7 +196,7 @@
 void LeadershipManager::ConfirmAndClaim(const std::string& failure_domain,
                                         std::int64_t expected_revision,
                                         LeaderState state) {
-  if (state != LeaderState::kGone && state != LeaderState::kLeaving) {
+  if (state != LeaderState::kGone) {
     Claim(failure_domain, expected_revision);
     return;
   }
--- a/src/node/leadership_manager.cc
+++ b/src/node/leadership_manager.cc
@@ -88,7 +88,7 @@
       ConsiderElection(domain, now);
     }
   }
-  view_.SetUpstreamsWatched(!held_domains_.empty() || IsClaiming());
+  view_.SetUpstreamsWatched(NeedsUpstreams(now));
   CheckUpstreamListAge(now);
   timer_.After(kTick);
 }
@@ -277,6 +277,10 @@
     held_domain.domain_leader->SetUpstreams(view_.upstreams(),
                                             held_domain.predecessor_upstreams);
   }
+  if (held_domains_.empty()) {
+    // A claim may have waited for the list.
+    timer_.After(Duration(0));
+  }
 }
 
 void LeadershipManager::OnPause() {
@@ -320,6 +324,13 @@
 void LeadershipManager::OnLeadersChanged() {
   const TimePoint now = runtime_.Now();
   for (const auto& [domain, stored] : view_.leaders()) {
+    std::int64_t& known_revision = known_revisions_[domain];
+    const auto claim = claims_.find(domain);
+    if (std::exchange(known_revision, stored.revision) != stored.revision &&
+        claim != claims_.end() && claim->second != TimePoint::max()) {
+      // A claim from the new leader need not wait for that from the old one.
+      claims_.erase(claim);
+    }
     const auto it = held_domains_.find(domain);
     if (it != held_domains_.end() && !it->second.has_resigned &&
         HasSuccessor(domain, it->second)) {
@@ -385,7 +396,8 @@
 }
 
 void LeadershipManager::Resign(const std::string& failure_domain,
-                               std::string_view cause) {
+                               std::string_view cause,
+                               const std::string& successor) {
   const auto it = held_domains_.find(failure_domain);
   if (it == held_domains_.end() || it->second.has_resigned) {
     return;
@@ -395,6 +407,7 @@
   HeldDomain& held_domain = it->second;
   held_domain.has_resigned = true;
   held_domain.resigned_at = runtime_.Now();
+  held_domain.successor = successor;
   held_domain.domain_leader->BeginHandOver();
   if (held_domain.lease != 0) {
     store_.RevokeLease(held_domain.lease, [](const StoreResult<LeaseStatus>&) {
@@ -410,7 +423,7 @@
     domains.push_back(domain);
   }
   for (const std::string& domain : domains) {
-    Resign(domain, "shutdown");
+    Resign(domain, "shutdown", "");
   }
 }
 
@@ -444,6 +457,7 @@
     statuses.push_back({.failure_domain = domain,
                         .is_draining = held_domain.has_resigned,
                         .held_upstreams = std::move(held_upstreams),
+                        .successor = held_domain.successor,
                         .load = held_domain.domain_leader->Load()});
   }
   return statuses;
--- a/src/node/leadership_manager.h
+++ b/src/node/leadership_manager.h
@@ -70,8 +70,11 @@
                     std::function<void(bool is_accepted)> respond);
 
   // Starts to hand over the leadership of a domain. Jobs are accepted until a
-  // successor takes over or the wait for one times out.
-  void Resign(const std::string& failure_domain, std::string_view cause);
+  // successor takes over or the wait for one times out. `successor` is the
+  // instance that has asked for the domain, or empty.
+  void Resign(const std::string& failure_domain,
+              std::string_view cause,
+              const std::string& successor);
   void ResignAll();
 
   // Returns the failure domain of this node if another node leads it and this
@@ -102,6 +105,8 @@
     TimePoint last_renewal;
     bool has_resigned = false;
     TimePoint resigned_at;
+    // The instance that has asked for the domain, or empty.
+    std::string successor;
     // Upstreams that the predecessor has not released yet.
     std::set<std::string> predecessor_upstreams;
     // The highest fencing token offered to a successor so far, and the
@@ -134,8 +139,9 @@
   TimePoint StartLimit();
   void CheckUpstreamListAge(TimePoint now);
   void ConsiderElection(const std::string& failure_domain, TimePoint now);
-  // True while this node writes a claim.
-  bool IsClaiming() const;
+  // True while this node leads a domain or tries to.
+  bool NeedsUpstreams(TimePoint now) const;
+  bool HasUpstreams(const std::string& failure_domain) const;
   void UpdateHeldDomain(const std::string& failure_domain,
                         HeldDomain& held_domain,
                         TimePoint now);
@@ -178,7 +184,8 @@
                         std::string_view cause);
   void RetireLostLeaders();
   bool IsOwn(const LeaderRecord& record) const;
-  Duration RankDelay(const std::string& failure_domain) const;
+  Duration RankDelay(const std::string& failure_domain,
+                     control::LeaderState state) const;
 
   Runtime& runtime_;
   const NodeSettings& settings_;
@@ -191,6 +198,8 @@
   // Claims in progress, with the time of the last attempt; `TimePoint::max()`
   // while the record is being written.
   std::map<std::string, TimePoint> claims_;
+  // Store revisions of the leader records, as last seen.
+  std::map<std::string, std::int64_t> known_revisions_;
   // The leader at the time of the claim. It has to be saved because `Peers`
   // stops monitoring it once the store shows the new record.
   std::map<std::string, Predecessor> predecessors_;
@@ -206,6 +215,8 @@
   std::vector<Delegation> delegations_;
   // Position in a domain's upstreams from which the next ones are probed.
   std::size_t next_probe_ = 0;
+  // This node reads the list of upstreams until then, as it may claim a domain.
+  TimePoint upstreams_wanted_until_;
   // When the list of upstreams was last read because it had become too old.
   TimePoint upstreams_refreshed_;
   // Former leaders, which are destroyed at the next tick because they may still
--- a/src/node/peer_messages.cc
+++ b/src/node/peer_messages.cc
@@ -84,6 +84,7 @@
   return {{"domain", status.failure_domain},
           {"draining", status.is_draining},
           {"held", status.held_upstreams},
+          {"successor", status.successor},
           {"backlog", status.load.backlog_core_seconds},
           {"cores", status.load.cores},
           {"wait_us", status.load.wait.count()}};
@@ -93,6 +94,8 @@
   return {.failure_domain = value.at("domain"),
           .is_draining = value.at("draining"),
           .held_upstreams = value.at("held"),
+          // Nodes of earlier versions do not report it.
+          .successor = value.value("successor", ""),
           .load = {.backlog_core_seconds = value.at("backlog"),
                    .cores = value.at("cores"),
                    .wait = Duration(value.at("wait_us"))}};
--- a/src/node/peer_server.cc
+++ b/src/node/peer_server.cc
@@ -200,7 +200,8 @@
   for (const std::string& domain : ping->requested_domains) {
     // The sender is in the domain or has a larger processor share, so it is the
     // better leader.
-    leadership_manager_.Resign(domain, "wanted_by_better");
+    leadership_manager_.Resign(domain, "wanted_by_better",
+                               ping->sender.instance);
   }
   const RoutingTable* const routing = view_.routing();
   std::vector<LeadershipStatus> statuses = leadership_manager_.Statuses();
--- a/src/node/peers.cc
+++ b/src/node/peers.cc
@@ -160,8 +160,19 @@
   const TimePoint now = runtime_.Now();
   const MonitoredLeader& monitored = it->second;
   const LeaderState state = ComputeState(failure_domain, monitored, now);
+  const LeadershipStatus* const status =
+      StatusAt(monitored.record.address, failure_domain);
   if (state == LeaderState::kLeaving) {
-    return StatusAt(monitored.record.address, failure_domain)->held_upstreams;
+    return status->held_upstreams;
+  }
+  const auto peer = peers_.find(monitored.record.address);
+  const bool is_slow =
+      state == LeaderState::kSilent && status != nullptr &&
+      status->is_draining &&
+      peer->second.incarnation == monitored.record.incarnation &&
+      now - peer->second.last_response < options_.predecessor_silent_after;
+  if (is_slow) {
+    return status->held_upstreams;
   }
   // An older response, sent before the predecessor resigned, says nothing about
   // the hand-over; the list from the delegation is used until a newer one
@@ -235,8 +246,11 @@
       request_client_.Send(peer, std::move(request), timeout,
                            [this, peer, number, callback = std::move(callback)](
                                const http::ClientResult& result) {
-                             destinations_.erase(*number);
-                             OnRequestEnded(peer);
+                             // The result of a request may be on its way here
+                             // when it is cancelled.
+                             if (destinations_.erase(*number) > 0) {
+                               OnRequestEnded(peer);
+                             }
                              callback(result);
                            });
   destinations_.emplace(*number, peer);
@@ -390,6 +404,7 @@
     peer.statuses.push_back(relayed.status);
   } else {
     status->is_draining = relayed.status.is_draining;
+    status->successor = relayed.status.successor;
     status->load = relayed.status.load;
   }
 }
@@ -401,7 +416,7 @@
   if (const auto* const error = std::get_if<http::ClientError>(&result)) {
     // A refused connection means that the machine is up but the process is not.
     // A timeout may also be caused by the network.
-    const bool is_refused = error->not_sent && error->message != "timed out";
+    const bool is_refused = error->not_sent && !error->timed_out;
     peer.consecutive_refusals = is_refused ? peer.consecutive_refusals + 1 : 0;
     return;
   }
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -33,6 +33,10 @@
   Duration ping_timeout = std::chrono::milliseconds(300);
   // A peer counts as silent after this time without a response.
   Duration silent_after = std::chrono::milliseconds(700);
+  // The same for a predecessor that hands its upstreams over. Fencing one that
+  // is only slow ends its runs; waiting for one that has died leaves capacity
+  // unused, until its leases have expired.
+  Duration predecessor_silent_after = std::chrono::milliseconds(1500);
 };
 
 // Pings the leaders of all domains and keeps their last responses.
@@ -74,7 +78,8 @@
   void ForgetPredecessor(const std::string& failure_domain);
 
   // Upstreams that the predecessor has not released. Empty once it has released
-  // all of them, has ended, or has not responded for `silent_after`.
+  // all of them, has ended, or has not responded for
+  // `predecessor_silent_after`.
   std::vector<std::string> HeldByPredecessor(
       const std::string& failure_domain) const;
 
@@ -124,6 +129,11 @@
                      http::ClientCallback callback);
   // Resets the connection of the request; its callback does not run.
   void Cancel(std::uint64_t request);
+  // Number of requests to `peer` that have not ended.
+  std::size_t in_flight(const Address& peer) const {
+    const auto it = in_flight_.find(peer);
+    return it == in_flight_.end() ? 0 : it->second;
+  }
 
  private:
   struct Peer {
--- a/src/node/prefix_mirror.cc
+++ b/src/node/prefix_mirror.cc
@@ -29,6 +29,7 @@
       prefix_(std::move(prefix)),
       on_change_(std::move(on_change)),
       options_(options),
+      is_active_(options.is_initially_active),
       retry_delay_(options.initial_retry_delay),
       timer_(runtime.base(), [this] { ReadOrWatch(); }),
       is_alive_(std::make_shared<bool>(true)) {}
@@ -38,11 +39,9 @@
 }
 
 void PrefixMirror::Start() {
-  Read();
-}
-
-bool PrefixMirror::IsIdle() const {
-  return options_.idle_interval > Duration(0) && !is_active_;
+  if (is_active_) {
+    Read();
+  }
 }
 
 void PrefixMirror::SetActive(bool is_active) {
@@ -51,13 +50,15 @@
   }
   needs_full_read_ = true;
   if (!is_call_in_flight_) {
-    timer_.Cancel();
     Read();
   }
 }
 
 void PrefixMirror::ReadOrWatch() {
-  if (needs_full_read_ || IsIdle()) {
+  if (!is_active_) {
+    return;
+  }
+  if (needs_full_read_) {
     Read();
   } else {
     Watch();
@@ -66,34 +67,28 @@
 
 void PrefixMirror::Read() {
   is_call_in_flight_ = true;
+  needs_full_read_ = false;
   timer_.Cancel();
   call_sent_ = runtime_.Now();
-  // An inactive mirror may become active before the response arrives, so the
-  // mode is that of the call.
-  const bool is_idle = IsIdle() && revision_ > 0;
-  store_.Range({.key = prefix_,
-                .range_end = EndOfPrefix(prefix_),
-                .allows_stale = is_idle},
-               [this, is_idle, alive = is_alive_,
+  store_.Range({.key = prefix_, .range_end = EndOfPrefix(prefix_)},
+               [this, alive = is_alive_,
                 call = ++current_call_](StoreResult<RangeResult> result) {
                  if (*alive && call == current_call_) {
-                   OnRead(std::move(result), is_idle);
+                   OnRead(std::move(result));
                  }
                });
 }
 
-void PrefixMirror::OnRead(StoreResult<RangeResult> result, bool is_idle) {
+void PrefixMirror::OnRead(StoreResult<RangeResult> result) {
   is_call_in_flight_ = false;
   if (const auto* const error = std::get_if<StoreError>(&result)) {
+    needs_full_read_ = true;
     RetryLater(*error);
     return;
   }
   OnStoreResponse();
+  current_as_of_ = std::max(current_as_of_, call_sent_);
   auto& range = std::get<RangeResult>(result);
-  if (!is_idle) {
-    needs_full_read_ = false;
-    current_as_of_ = std::max(current_as_of_, call_sent_);
-  }
   if (range.revision >= revision_) {
     MirroredItems items;
     for (KeyValue& item : range.values) {
@@ -106,10 +101,6 @@
       on_change_();
     }
   }
-  if (IsIdle()) {
-    timer_.After(options_.idle_interval);
-    return;
-  }
   ReadOrWatch();
 }
 
@@ -193,7 +184,6 @@
   auto& changes = std::get<WatchResult>(result);
   if (changes.is_compacted) {
     LogEvent(LogLevel::kInfo, "store_history_gone", {{"prefix", prefix_}});
-    needs_full_read_ = true;
     Read();
     return;
   }
@@ -218,11 +208,11 @@
   if (has_changed) {
     on_change_();
   }
-  if (needs_full_read_ || options_.batch_interval > Duration(0)) {
-    timer_.After(needs_full_read_ ? Duration(0) : options_.batch_interval);
+  if (!needs_full_read_ && options_.batch_interval > Duration(0)) {
+    timer_.After(options_.batch_interval);
     return;
   }
-  Watch();
+  ReadOrWatch();
 }
 
 MirrorChanges PrefixMirror::ChangesSince(std::int64_t revision) const {
--- a/src/node/prefix_mirror.h
+++ b/src/node/prefix_mirror.h
@@ -21,9 +21,8 @@
   // Pause between the response to a watch and the next watch. Batches frequent
   // changes to keep the number of store calls low.
   Duration batch_interval{0};
-  // Interval of full reads while the mirror is inactive; 0: the mirror always
-  // watches. These reads may return values that are seconds old.
-  Duration idle_interval{0};
+  // The mirror reads nothing until it is made active.
+  bool is_initially_active = true;
   // Removals that are remembered for `ChangesSince`.
   std::size_t max_removals = 4096;
   Duration initial_retry_delay = std::chrono::milliseconds(100);
@@ -69,9 +68,10 @@
 
   void Start();
 
-  // An active mirror watches, so that it sees every change soon. Activating a
-  // mirror reads all items again.
+  // An active mirror watches, so that it sees every change soon. An inactive one
+  // keeps its items as they are. Activating a mirror reads all items again.
   void SetActive(bool is_active);
+  bool is_active() const { return is_active_; }
 
   // Reads all items now, because there is evidence that `items()` is out of
   // date. The response to a pending watch is ignored, as its connection may be
@@ -99,11 +99,10 @@
   bool is_connected() const { return is_connected_; }
 
  private:
-  bool IsIdle() const;
   void ReadOrWatch();
   void Read();
   void Watch();
-  void OnRead(StoreResult<RangeResult> result, bool is_idle);
+  void OnRead(StoreResult<RangeResult> result);
   void OnWatched(StoreResult<WatchResult> result);
   void OnStoreResponse();
   // Replaces all items by those of the store at `revision`.
@@ -127,7 +126,7 @@
   TimePoint call_sent_;
   bool is_connected_ = false;
   bool needs_full_read_ = true;
-  bool is_active_ = false;
+  bool is_active_;
   // Number of the current call; responses to earlier calls are ignored.
   std::uint64_t current_call_ = 0;
   bool is_call_in_flight_ = false;
--- a/src/node/store_view.cc
+++ b/src/node/store_view.cc
@@ -18,9 +18,6 @@
 // updates of many upstreams, and bounds the age of the list well below the
 // notice that an upstream gives before it shuts down.
 constexpr Duration kUpstreamInterval = std::chrono::milliseconds(400);
-// Nodes that lead no domain use the list only to check whether upstreams are
-// reachable, and read it again before they take a leadership over.
-constexpr Duration kUpstreamIdleInterval = std::chrono::seconds(20);
 // Entries that expired during an outage of the store reappear within two
 // seconds after the outage. An entry that is missing for longer belongs to an
 // upstream that was removed.
@@ -45,7 +42,7 @@
                        [this] { OnUpstreams(); },
                        {.watch_wait = Duration(0),
                         .batch_interval = kUpstreamInterval,
-                        .idle_interval = kUpstreamIdleInterval}),
+                        .is_initially_active = false}),
       leader_mirror_(runtime,
                      store,
                      std::string(kLeaderPrefix),
@@ -64,7 +61,8 @@
 
 bool StoreView::is_connected() const {
   return configuration_mirror_.is_connected() &&
-         upstream_mirror_.is_connected() && leader_mirror_.is_connected();
+         leader_mirror_.is_connected() &&
+         (!upstream_mirror_.is_active() || upstream_mirror_.is_connected());
 }
 
 std::string StoreView::LeaderKey(const std::string& failure_domain) {
--- a/src/node/store_view.h
+++ b/src/node/store_view.h
@@ -50,10 +50,12 @@
   void Start();
 
   // Set while this node leads a domain or tries to. Otherwise the list of
-  // upstreams may be many seconds old.
+  // upstreams, by far the largest part of the store, is not read: when all nodes
+  // start at once, their first reads would compete with the claims.
   void SetUpstreamsWatched(bool is_watched) {
     upstream_mirror_.SetActive(is_watched);
   }
+  bool has_read_upstreams() const { return upstream_mirror_.revision() > 0; }
   // Reads the list of upstreams now, as it has become too old.
   void RefreshUpstreams() { upstream_mirror_.Refresh(); }
   // `upstreams()` includes all changes that the store made before this time.
--- a/src/platform_services/etcd_json.cc
+++ b/src/platform_services/etcd_json.cc
@@ -29,9 +29,6 @@
   if (request.keys_only) {
     json["keys_only"] = true;
   }
-  if (request.allows_stale) {
-    json["serializable"] = true;
-  }
   if (request.descending) {
     json["sort_order"] = "DESCEND";
     json["sort_target"] = "KEY";
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -286,6 +286,28 @@
   }
 }
 
+// Guards against callers that are refused because all of them return at once
+// after a power loss, a moment before their domain has a leader.
+Test(node, jobs_wait_for_the_first_leader_after_a_restart) {
+  PlatformRig rig;
+  rig.AddUpstream("u4", "antwerp");
+  rig.AddNode();
+  cr_assert(rig.WaitUntilReady());
+  cr_assert(rig.loop.RunUntil([&] { return rig.LeaderOf("antwerp") >= 0; }));
+  rig.KillNode(0);
+  rig.loop.RunFor(100);
+  rig.RestartNode(0);
+  rig.loop.RunFor(25);
+  cr_assert_lt(rig.LeaderOf(), 0);
+  for (int job = 0; job < 4; ++job) {
+    rig.Submit(0, Id(job), 1, "50");
+  }
+  cr_assert(rig.WaitForResponses());
+  cr_assert_eq(CountStatus(rig, 4, 200), 4, "%d %s", rig.StatusOf(Id(0)),
+               rig.BodyOf(Id(0)).c_str());
+  AssertNoViolation(rig);
+}
+
 // Guards against a store outage that stops jobs, which do not need the store.
 Test(node, store_outage_stops_no_job) {
   PlatformRig rig;
@@ -427,7 +449,7 @@
   cr_assert(rig.WaitUntilReady());
   rig.loop.RunFor(500);
   rig.store.StallWatches(true);
-  rig.node(0).leadership_manager().Resign("ghent", "test");
+  rig.node(0).leadership_manager().Resign("ghent", "test", "");
   const auto is_leader = [&] {
     return rig.node(0).leadership_manager().Find("ghent") != nullptr;
   };
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -68,6 +68,10 @@
     server.Handle(http::Method::kPost, kPingPath,
                   [this](const http::Request&, http::Responder responder) {
                     ++pings;
+                    if (is_silent) {
+                      held.push_back(std::move(responder));
+                      return;
+                    }
                     responder.Send({.body = Encode(Response())});
                   });
   }
@@ -82,7 +86,9 @@
   PingResponse Response() const {
     PingResponse response{.clock_us = 1,
                           .incarnation = failure_domain,
-                          .statuses = {{.failure_domain = failure_domain}}};
+                          .statuses = {{.failure_domain = failure_domain,
+                                        .is_draining = !held_upstreams.empty(),
+                                        .held_upstreams = held_upstreams}}};
     if (relays != nullptr) {
       response.relayed = {{.status = {.failure_domain = relays->failure_domain,
                                       .load = {.cores = 7}},
@@ -95,7 +101,11 @@
   std::string failure_domain;
   // The leader on which this one reports.
   const FakeLeader* relays = nullptr;
+  // Not empty: the leader is handing over.
+  std::vector<std::string> held_upstreams;
+  bool is_silent = false;
   int pings = 0;
+  std::vector<http::Responder> held;
   http::Server server;
 };
 
@@ -172,5 +182,68 @@
   cr_assert_leq(other.pings, 3);
 }
 
+// Guards against a successor that fences the upstreams of a predecessor that is
+// only slow to respond, which ends its runs: scenario bfp-pasbank-large
+// trouble-3, where a leader on a small instance handed over while connections
+// were reset.
+Test(peers, slow_predecessor_keeps_its_upstreams_for_a_while) {
+  testing::EventLoop loop;
+  Runtime runtime(loop.base());
+  FakeLeader predecessor(loop, "ghent");
+  predecessor.held_upstreams = {"u1"};
+  Peers peers(
+      runtime, {}, [] { return Ping{}; },
+      [](const Address&, const PingResponse&) {});
+  peers.MonitorLeader("ghent", predecessor.Record(), 10);
+  cr_assert(loop.RunUntil([&] {
+    return peers.LeaderStateOf("ghent") == control::LeaderState::kLeaving;
+  }));
+  peers.MonitorPredecessor("ghent", predecessor.Record(), {});
+  cr_assert_eq(peers.HeldByPredecessor("ghent").size(), 1);
+  predecessor.is_silent = true;
+  loop.RunFor(1000);
+  cr_assert_eq(peers.HeldByPredecessor("ghent").size(), 1);
+  loop.RunFor(800);
+  cr_assert(peers.HeldByPredecessor("ghent").empty());
+}
+
+// Guards against a crash when a request is cancelled after its response has
+// been read, before the callback runs: scenario bfp-pasbank-large trouble-1 and
+// trouble-3, when callers left.
+Test(peers, request_is_cancelled_when_its_response_has_been_read) {
+  testing::EventLoop loop;
+  Runtime runtime(loop.base());
+  FakeLeader leader(loop, "ghent");
+  std::vector<http::Responder> held;
+  leader.server.Handle(http::Method::kPost, kForwardedJobPath,
+                       [&](const http::Request&, http::Responder responder) {
+                         held.push_back(std::move(responder));
+                       });
+  Peers peers(
+      runtime, {}, [] { return Ping{}; },
+      [](const Address&, const PingResponse&) {});
+  constexpr std::size_t kRequests = 8;
+  std::vector<std::uint64_t> requests;
+  for (std::size_t each = 0; each < kRequests; ++each) {
+    requests.push_back(peers.Send(
+        leader.Record().address,
+        {.method = http::Method::kPost,
+         .path = kForwardedJobPath,
+         .body = "{}"},
+        std::chrono::seconds(10), [&](const http::ClientResult&) {
+          // The last one stays in flight.
+          for (std::size_t other = 0; other + 1 < kRequests; ++other) {
+            peers.Cancel(requests[other]);
+          }
+        }));
+  }
+  cr_assert(loop.RunUntil([&] { return held.size() == kRequests; }));
+  for (std::size_t each = 0; each + 1 < kRequests; ++each) {
+    held[each].Send({.body = "{}"});
+  }
+  loop.RunFor(100);
+  cr_assert_eq(peers.in_flight(leader.Record().address), 1);
+}
+
 }  // namespace
 }  // namespace jaypick::node
