Wait for the configuration in the test of a lost claim

Cause: node/claim_is_resolved_after_its_response_was_lost failed once beside a build. A node without a configuration answers 503, so the case is allowed. Change: the test waits until the node has its configuration, and prints the answer. What it guards, a domain without a leader, is checked as before.

--- a/src/node/node.h
+++ b/src/node/node.h
@@ -46,6 +46,7 @@
 
   // True once a shutdown has finished.
   bool has_ended() const { return has_ended_; }
+  bool has_configuration() const { return view_.routing() != nullptr; }
   std::uint16_t caller_port() const { return caller_server_.port(); }
   std::uint16_t peer_port() const { return peer_server_.port(); }
   LeadershipManager& leadership_manager() { return leadership_manager_; }
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -469,9 +469,12 @@
   rig.AddNode();
   rig.store.LoseAnswers(5);
   cr_assert(rig.WaitUntilReady());
+  // The read of the configuration may have been lost last.
+  cr_assert(rig.loop.RunUntil([&] { return rig.node(0).has_configuration(); }));
   rig.Submit(0, Id(0), 1, "20");
   cr_assert(rig.WaitForResponses());
-  cr_assert_eq(rig.StatusOf(Id(0)), 200);
+  cr_assert_eq(rig.StatusOf(Id(0)), 200, "%d %s", rig.StatusOf(Id(0)),
+               rig.BodyOf(Id(0)).c_str());
 }
 
 // Guards against a configuration change that is missed because the store has
