--- a/src/node/peer_messages.h
+++ b/src/node/peer_messages.h
@@ -50,7 +50,8 @@
   bool is_draining = false;
   // Upstreams that a draining leader has not released yet.
   std::vector<std::string> held_upstreams;
-  // The instance to which a draining leader hands over; empty if any may follow.
+  // The instance to which a draining leader hands over; empty if any may
+  // follow.
   std::string successor;
   schedule::LoadReport load;
 
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -164,7 +164,8 @@
   const LeadershipStatus* StatusAt(const Address& address,
                                    const std::string& failure_domain) const;
   void PingDue();
-  void PingAddresses(const std::set<Address>& addresses);
+  // Pings `leaders` and all predecessors.
+  void PingAddresses(const std::set<Address>& leaders);
   bool IsPingDue(const std::string& failure_domain,
                  const MonitoredLeader& monitored,
                  TimePoint now) const;
--- a/src/node/prefix_mirror.h
+++ b/src/node/prefix_mirror.h
@@ -68,8 +68,8 @@
 
   void Start();
 
-  // An active mirror watches, so that it sees every change soon. An inactive one
-  // keeps its items as they are. Activating a mirror reads all items again.
+  // An active mirror watches, so that it sees every change soon. An inactive
+  // one keeps its items as they are. Activating a mirror reads all items again.
   void SetActive(bool is_active);
   bool is_active() const { return is_active_; }
 
--- a/src/node/snapshot_exchange.cc
+++ b/src/node/snapshot_exchange.cc
@@ -162,9 +162,10 @@
   };
   // Nodes of a domain read from its own leader, so that the load is spread.
   std::vector<std::string> domains = settings_.failure_domains;
-  std::ranges::stable_partition(domains, [&](const std::string& domain) {
-    return domain == settings_.failure_domain;
-  });
+  std::stable_partition(domains.begin(), domains.end(),
+                        [&](const std::string& domain) {
+                          return domain == settings_.failure_domain;
+                        });
   for (const std::string& domain : domains) {
     const LeaderRecord* const leader = peers_.LeaderOf(domain);
     const StoreStatus* const store = peers_.LeaderStoreStatus(domain);
--- a/src/node/store_view.h
+++ b/src/node/store_view.h
@@ -50,8 +50,8 @@
   void Start();
 
   // Set while this node leads a domain or tries to. Otherwise the list of
-  // upstreams, by far the largest part of the store, is not read: when all nodes
-  // start at once, their first reads would compete with the claims.
+  // upstreams, by far the largest part of the store, is not read: when all
+  // nodes start at once, their first reads would compete with the claims.
   void SetUpstreamsWatched(bool is_watched) {
     upstream_mirror_.SetActive(is_watched);
   }
