Keep the list of requests alive in the test of cancelled requests

Cause: the last request of peers/request_is_cancelled_when_its_response_has_been_read ends with the client, whose callback then used a list that was destroyed before: the sanitizer build failed there (313 of 314 passed), the release build did not. Change: the list outlives the client; the check is the same. Measured: the peers tests pass in both builds.

--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -219,11 +219,12 @@
                        [&](const http::Request&, http::Responder responder) {
                          held.push_back(std::move(responder));
                        });
+  // Outlives `peers`, whose destructor ends the last request.
+  std::vector<std::uint64_t> requests;
   Peers peers(
       runtime, {}, [] { return Ping{}; },
       [](const Address&, const PingResponse&) {});
   constexpr std::size_t kRequests = 8;
-  std::vector<std::uint64_t> requests;
   for (std::size_t each = 0; each < kRequests; ++each) {
     requests.push_back(peers.Send(
         leader.Record().address,
