Log when starts are held back and when they go on

Change: starts_held and starts_resumed, once per change, with the time left until the limit, the waiting tasks and the upstreams that the scheduler regards as leaving; upstream_draining is logged once per upstream and not for each of its heartbeats.

--- a/src/node/domain_leader.cc
+++ b/src/node/domain_leader.cc
@@ -95,11 +95,29 @@
   const TimePoint now = runtime_.Now();
   const bool was_held = now >= scheduler_.start_limit();
   scheduler_.SetStartLimit(limit);
+  LogStartLimit(now);
   if (was_held && now < limit) {
     ProcessPending(now);
   }
 }
 
+void DomainLeader::LogStartLimit(TimePoint now) {
+  const TimePoint limit = scheduler_.start_limit();
+  const bool is_held = now >= limit;
+  if (std::exchange(are_starts_held_, is_held) == is_held) {
+    return;
+  }
+  LogEvent(
+      is_held ? LogLevel::kWarning : LogLevel::kInfo,
+      is_held ? "starts_held" : "starts_resumed",
+      {{"domain", options_.failure_domain},
+       {"limit_ms", limit == TimePoint::max()
+                        ? "none"
+                        : std::to_string(ToMilliseconds(limit - now))},
+       {"waiting_tasks", std::to_string(scheduler_.waiting_tasks())},
+       {"draining_upstreams", std::to_string(scheduler_.fleet().draining())}});
+}
+
 std::uint64_t DomainLeader::Submit(schedule::JobSpec spec,
                                    TimePoint arrival,
                                    TimePoint deadline,
--- a/src/node/domain_leader.h
+++ b/src/node/domain_leader.h
@@ -130,6 +130,7 @@
   void ReleaseUpstream(std::uint32_t upstream);
   void ReleaseIdleUpstreams();
   void ArmTimer(TimePoint now);
+  void LogStartLimit(TimePoint now);
   void LoseLeadership(TimePoint now);
 
   Runtime& runtime_;
@@ -146,6 +147,7 @@
   std::uint64_t last_waiter_ = 0;
   schedule::LoadReport load_;
   TimePoint load_updated_;
+  bool are_starts_held_ = false;
   bool is_handing_over_ = false;
   bool is_draining_ = false;
   bool is_lost_ = false;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -50,6 +50,7 @@
   std::uint16_t caller_port() const { return caller_server_.port(); }
   std::uint16_t peer_port() const { return peer_server_.port(); }
   LeadershipManager& leadership_manager() { return leadership_manager_; }
+  const StoreView& store_view() const { return view_; }
   const SnapshotExchange& snapshot_exchange() const {
     return snapshot_exchange_;
   }
--- a/src/node/store_view.cc
+++ b/src/node/store_view.cc
@@ -114,9 +114,13 @@
       upstreams_.erase(key);
       continue;
     }
-    if (upstream->is_draining) {
+    const auto known = upstreams_.find(key);
+    const bool was_draining =
+        known != upstreams_.end() && known->second.is_draining;
+    if (upstream->is_draining && !was_draining) {
       LogEvent(LogLevel::kInfo, "upstream_draining",
-               {{"upstream", upstream->id}});
+               {{"upstream", upstream->id},
+                {"revision", std::to_string(item.mod_revision)}});
     }
     upstreams_.insert_or_assign(key, *std::move(upstream));
   }
--- a/src/schedule/fleet.cc
+++ b/src/schedule/fleet.cc
@@ -118,6 +118,13 @@
   return static_cast<std::uint32_t>(states_.size());
 }
 
+std::uint32_t Fleet::draining() const {
+  return static_cast<std::uint32_t>(
+      std::ranges::count_if(states_, [](const State& state) {
+        return state.is_listed && state.upstream.is_draining;
+      }));
+}
+
 bool Fleet::IsUsable(const State& state, TimePoint now) const {
   return state.is_listed && state.is_ready && !state.upstream.is_draining &&
          now >= state.ejected_until;
--- a/src/schedule/fleet.h
+++ b/src/schedule/fleet.h
@@ -88,6 +88,8 @@
   // ejected nor slow. Most such upstreams are ready again after the next poll.
   bool IsBrieflyUnready(std::uint32_t number, TimePoint now) const;
   std::uint32_t size() const;
+  // Number of listed upstreams that have announced their shutdown.
+  std::uint32_t draining() const;
 
   // Chooses an upstream with enough free capacity: the tightest fit among the
   // healthy ones. Tight packing keeps capacity for large tasks and confines the
