Put a list of upstreams and its limit of starts in force together

What callers saw: tasks on upstreams that had announced their shutdown seconds before (DRAIN); one that exits takes the run with it. Cause: when a newer list arrived, LeadershipManager::OnUpstreamsChanged first moved the limit of starts and then passed on the list. Lifting the limit starts the tasks that were held back, so they were placed on the old list. A new leader that had read the list long before, as it had once tried to lead, held the most tasks back and had the oldest list. The class of fault: one state that is set in two steps, with an action between them. Change: DomainLeader::SetUpstreams takes the limit with the list and starts tasks after both; all three callers do so, also a new leader and a hand-over.

--- a/src/node/domain_leader.cc
+++ b/src/node/domain_leader.cc
@@ -36,7 +36,8 @@
 
 void DomainLeader::SetUpstreams(
     const std::map<std::string, schedule::Upstream>& listed,
-    const std::set<std::string>& predecessor_upstreams) {
+    const std::set<std::string>& predecessor_upstreams,
+    TimePoint start_limit) {
   if (is_lost_) {
     return;
   }
@@ -88,6 +89,8 @@
       sessions_.erase(number);
     }
   }
+  scheduler_.SetStartLimit(start_limit);
+  LogStartLimit(now);
   ProcessPending(now);
 }
 
--- a/src/node/domain_leader.h
+++ b/src/node/domain_leader.h
@@ -45,10 +45,16 @@
 
   // Updates the set of upstreams: all listed upstreams of the domain are used
   // except `predecessor_upstreams`, which the predecessor has not released yet.
+  //
+  // No run starts on this list at `start_limit` or later. A list and its limit
+  // take effect together.
   void SetUpstreams(const std::map<std::string, schedule::Upstream>& listed,
-                    const std::set<std::string>& predecessor_upstreams);
+                    const std::set<std::string>& predecessor_upstreams,
+                    TimePoint start_limit);
 
-  // No run starts at `limit` or later, until this is called again.
+  // Changes the limit because the current list was confirmed or can no longer
+  // be updated. Must not be called for a newer list than that of the last call
+  // of `SetUpstreams`.
   void SetStartLimit(TimePoint limit);
 
   // Submits a job. `callback` runs once, with the outcome. If a job with this
--- a/src/node/leadership_manager.cc
+++ b/src/node/leadership_manager.cc
@@ -173,9 +173,8 @@
   held_domain.predecessor_upstreams =
       std::set<std::string>(unreleased.begin(), unreleased.end());
   peers_.MonitorLeader(failure_domain, OwnRecord(), token);
-  held_domain.domain_leader->SetStartLimit(StartLimit());
-  held_domain.domain_leader->SetUpstreams(view_.upstreams(),
-                                          held_domain.predecessor_upstreams);
+  held_domain.domain_leader->SetUpstreams(
+      view_.upstreams(), held_domain.predecessor_upstreams, StartLimit());
 }
 
 void LeadershipManager::UpdateHeldDomain(const std::string& failure_domain,
@@ -273,9 +272,8 @@
 void LeadershipManager::OnUpstreamsChanged() {
   const TimePoint limit = StartLimit();
   for (auto& [domain, held_domain] : held_domains_) {
-    held_domain.domain_leader->SetStartLimit(limit);
-    held_domain.domain_leader->SetUpstreams(view_.upstreams(),
-                                            held_domain.predecessor_upstreams);
+    held_domain.domain_leader->SetUpstreams(
+        view_.upstreams(), held_domain.predecessor_upstreams, limit);
   }
   if (held_domains_.empty()) {
     // A claim may have waited for the list.
@@ -301,7 +299,7 @@
     if (predecessor_upstreams != held_domain.predecessor_upstreams) {
       held_domain.predecessor_upstreams = std::move(predecessor_upstreams);
       held_domain.domain_leader->SetUpstreams(
-          view_.upstreams(), held_domain.predecessor_upstreams);
+          view_.upstreams(), held_domain.predecessor_upstreams, StartLimit());
     }
   }
 }
--- a/tests/platform_rig.cc
+++ b/tests/platform_rig.cc
@@ -64,6 +64,7 @@
   settings.peer = any;
   settings.metrics = any;
   settings.ping_interval = ping_interval;
+  settings.upstream_notice = upstream_notice;
   nodes_.emplace_back();
   nodes_.back().settings = std::move(settings);
   StartNode(nodes_.back());
--- a/tests/platform_rig.h
+++ b/tests/platform_rig.h
@@ -72,6 +72,9 @@
 
   // Interval of pings of nodes that are started from now on.
   Duration ping_interval = node::NodeSettings().ping_interval;
+  // Notice of a shutdown that upstreams give, for nodes that are started from
+  // now on.
+  Duration upstream_notice = node::NodeSettings().upstream_notice;
   EventLoop loop;
   node::Runtime runtime{loop.base()};
   standin::PlatformStore store{runtime};
--- a/tests/store_snapshot_test.cc
+++ b/tests/store_snapshot_test.cc
@@ -267,6 +267,33 @@
   AssertNoViolation(rig);
 }
 
+// Guards against held tasks that start on the old list when a newer one
+// arrives: DRAIN in the sweep of bfp-pasbank-large at 300 instances, on
+// upstreams whose notice had ended seconds before.
+Test(store_snapshot, held_tasks_start_on_the_new_list) {
+  PlatformRig rig;
+  rig.upstream_notice = std::chrono::milliseconds(1000);
+  const std::size_t leader = rig.AddNode();
+  cr_assert(rig.WaitUntilReady());
+  rig.loop.RunFor(500);
+  rig.store.StallWatches(true);
+  rig.store.DelayRanges(std::chrono::milliseconds(300));
+  rig.upstreams[0]->Register("draining");
+  const schedule::Scheduler& scheduler =
+      rig.node(leader).leadership_manager().Find("ghent")->scheduler();
+  cr_assert(rig.loop.RunUntil(
+      [&] { return rig.runtime.Now() >= scheduler.start_limit(); }));
+  rig.Submit(leader, Id(0), 4, "100");
+  bool was_used = false;
+  cr_assert(rig.loop.RunUntil([&] {
+    was_used = was_used || rig.upstreams[0]->running() > 0;
+    return rig.StatusOf(Id(0)) != 0;
+  }));
+  cr_assert_eq(rig.StatusOf(Id(0)), 200, "%s", rig.BodyOf(Id(0)).c_str());
+  cr_assert(!was_used, "the upstream had announced its shutdown");
+  AssertNoViolation(rig);
+}
+
 // Guards against a leader that cannot reach the store and does not learn from
 // its peers that an upstream is shutting down.
 Test(store_snapshot, leader_without_the_store_learns_of_shutdowns_from_peers) {
