Complete a read of the store before it is repeated

What callers saw: nothing yet; with a list whose read takes longer than 500 ms a leader would have held back all starts for good. Cause: Refresh abandoned the read in progress and began a new one, and a leader with an old list refreshes each 500 ms. Change: a refresh during a read repeats it after its end, as the evidence may be newer than the read; the refresh of an old list does nothing during a read.

--- a/src/node/prefix_mirror.cc
+++ b/src/node/prefix_mirror.cc
@@ -69,8 +69,17 @@
   }
 }
 
+void PrefixMirror::Refresh() {
+  if (is_reading_) {
+    needs_full_read_ = true;
+    return;
+  }
+  Read();
+}
+
 void PrefixMirror::Read() {
   is_call_in_flight_ = true;
+  is_reading_ = true;
   needs_full_read_ = false;
   timer_.Cancel();
   call_sent_ = runtime_.Now();
@@ -85,6 +94,7 @@
 
 void PrefixMirror::OnRead(StoreResult<RangeResult> result) {
   is_call_in_flight_ = false;
+  is_reading_ = false;
   if (const auto* const error = std::get_if<StoreError>(&result)) {
     needs_full_read_ = true;
     RetryLater(*error);
--- a/src/node/prefix_mirror.h
+++ b/src/node/prefix_mirror.h
@@ -73,10 +73,12 @@
   void SetActive(bool is_active);
   bool is_active() const { return is_active_; }
 
-  // Reads all items now, because there is evidence that `items()` is out of
-  // date. The response to a pending watch is ignored, as its connection may be
-  // dead.
-  void Refresh() { Read(); }
+  // Reads all items, because there is evidence that `items()` is out of date.
+  // The response to a pending watch is ignored, as its connection may be dead.
+  // A read in progress is completed first: if each refresh abandoned it, a read
+  // that takes long would never end.
+  void Refresh();
+  bool is_reading() const { return is_reading_; }
 
   // Returns the changes after `revision`, or all items if removals since then
   // are no longer remembered.
@@ -130,6 +132,7 @@
   // Number of the current call; responses to earlier calls are ignored.
   std::uint64_t current_call_ = 0;
   bool is_call_in_flight_ = false;
+  bool is_reading_ = false;
   Duration retry_delay_{0};
   Timer timer_;
   // Outlives pending calls, whose callbacks check it after the mirror is
--- a/src/node/store_view.h
+++ b/src/node/store_view.h
@@ -56,8 +56,13 @@
     upstream_mirror_.SetActive(is_watched);
   }
   bool has_read_upstreams() const { return upstream_mirror_.revision() > 0; }
-  // Reads the list of upstreams now, as it has become too old.
-  void RefreshUpstreams() { upstream_mirror_.Refresh(); }
+  // Reads the list of upstreams now, as it has become too old. Does nothing if
+  // it is being read.
+  void RefreshUpstreams() {
+    if (!upstream_mirror_.is_reading()) {
+      upstream_mirror_.Refresh();
+    }
+  }
   // `upstreams()` includes all changes that the store made before this time.
   TimePoint upstreams_as_of() const { return upstream_mirror_.current_as_of(); }
 
--- a/tests/store_snapshot_test.cc
+++ b/tests/store_snapshot_test.cc
@@ -205,6 +205,43 @@
   cr_assert_eq(mirror.items().size(), 501);
 }
 
+// A store whose reads the test answers.
+class PendingReadsStore : public SilentStore {
+ public:
+  void Range(RangeRequest /*request*/,
+             StoreCallback<RangeResult> callback) override {
+    reads.push_back(std::move(callback));
+  }
+
+  std::vector<StoreCallback<RangeResult>> reads;
+};
+
+// Guards against a list that is never read to its end, because a read that
+// takes long is abandoned for a new one.
+Test(store_snapshot, refresh_waits_for_the_read_in_progress) {
+  EventLoop loop;
+  node::Runtime runtime(loop.base());
+  PendingReadsStore store;
+  PrefixMirror mirror(runtime, store, "p/", [] {});
+  mirror.Start();
+  mirror.Refresh();
+  mirror.Refresh();
+  cr_assert_eq(store.reads.size(), 1);
+  store.reads[0](RangeResult{.revision = 7, .values = {Item("p/a", 7)}});
+  cr_assert_eq(mirror.revision(), 7);
+  cr_assert_eq(store.reads.size(), 2,
+               "the evidence may be newer than the read");
+  store.reads[1](RangeResult{.revision = 8, .values = {Item("p/a", 7)}});
+  cr_assert_eq(mirror.revision(), 8);
+  cr_assert_eq(store.reads.size(), 2);
+  // A watch is in progress now; it may be on a dead connection.
+  mirror.Refresh();
+  cr_assert_eq(store.reads.size(), 3);
+  store.reads[2](StoreError{.kind = StoreErrorCode::kOutcomeUnknown});
+  mirror.Refresh();
+  cr_assert_eq(store.reads.size(), 4);
+}
+
 // Guards against leaders whose links are filled with snapshots when many nodes
 // lose the store at once. In scenario bfp-pasbank-large trouble-1, the leaders
 // then looked dead to their peers and were taken over one after the other.
