--- a/src/node/domain_leader.cc
+++ b/src/node/domain_leader.cc
@@ -334,8 +334,19 @@
 }
 
 void DomainLeader::Handle(TimePoint now,
-                          std::uint32_t /*upstream*/,
+                          std::uint32_t upstream,
                           control::RunEnded& output) {
+  if (output.end == schedule::RunOutcome::kLeaseExpired) {
+    LogEvent(LogLevel::kWarning, "run_lost",
+             {{"id", output.run.job},
+              {"task", std::to_string(output.run.step) + "." +
+                           std::to_string(output.run.index) + "#" +
+                           std::to_string(output.run.run)},
+              {"upstream", scheduler_.fleet().upstream(upstream).id},
+              {"domain", options_.failure_domain},
+              {"cause", std::string(output.cause)},
+              {"runs_there", std::to_string(scheduler_.runs_on(upstream))}});
+  }
   schedule::Actions actions;
   scheduler_.OnRunEnded(now, output.run, output.end, actions);
   Execute(now, std::move(actions));
