--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -246,6 +246,35 @@
                token);
 }
 
+// Guards against a caller that is told that its job has not run, although the
+// answer of the leader that ran it was lost.
+Test(node, lost_answer_of_a_forwarded_job_is_not_reported_as_not_run) {
+  PlatformRig rig;
+  standin::Relay relay(rig.loop.base(), {});
+  const std::size_t leader = rig.AddNodeAdvertisedAt(relay.port());
+  relay.Control("/target", {{"port", rig.PeerPort(leader)}});
+  cr_assert(rig.WaitUntilReady());
+  const std::size_t other = rig.AddNode();
+  rig.loop.RunFor(1000);
+  rig.Submit(other, Id(1), 2, "150", "/fit/", 1200);
+  const auto is_running = [&] {
+    return std::ranges::any_of(rig.upstreams, [](const auto& upstream) {
+      return upstream->running() > 0;
+    });
+  };
+  cr_assert(rig.loop.RunUntil(is_running));
+  relay.Control("/fault", {{"swallow_to_client", true}});
+  cr_assert(rig.WaitForResponses());
+  cr_assert_eq(rig.StatusOf(Id(1)), 504, "%s", rig.BodyOf(Id(1)).c_str());
+  // The caller submits the job again. It may run again, but not twice at once.
+  relay.Control("/fault", {{"swallow_to_client", false}});
+  relay.Control("/reset_open", {});
+  rig.Submit(leader, Id(1), 2, "150");
+  cr_assert(rig.WaitForResponses());
+  cr_assert_eq(rig.StatusOf(Id(1)), 200, "%s", rig.BodyOf(Id(1)).c_str());
+  cr_assert(rig.run_monitor.violations.empty());
+}
+
 // Guards against nodes that take over the domain of a leader right after a cut
 // has healed, which ends all its runs: to them, the refused connections during
 // the cut look like those to a process that has ended. In scenario
