Hold back starts on a list that lagged when its read fails

What callers saw: tasks on upstreams that had announced their shutdown seconds before (DRAIN), at a new leader whose first read of the list of upstreams got no response. Cause: LeadershipManager::StartLimit returned no limit as soon as one read of the list failed, unless another leader reported a connection to the store. An instance that had led the domain before still has the list of that time, and its own claim shows that the store worked long after it. The class of fault: one failed call that passes for an outage. Change: control/start_limit.h decides, without network. A list that was up to date when the store stopped answering stays in use during an outage; one that lagged behind other answers is not used until 3 s without the store have passed. A delegation carries the age of the list that comes with it, so that a leader that was named during an outage need not wait. Ruled out: the time of an answer in place of that of its request; a long poll that began before an outage ends during it, and two tests of delegation failed with it.

--- a/src/node/leadership_manager.cc
+++ b/src/node/leadership_manager.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "control/fencing_token.h"
+#include "control/start_limit.h"
 #include "daemon/log.h"
 
 namespace jaypick::node {
@@ -32,9 +33,6 @@
 constexpr Duration kDrainTime = std::chrono::milliseconds(1800);
 // Uptime after which a node asks for the leadership of its own domain.
 constexpr Duration kMinUptime = std::chrono::milliseconds(1500);
-// Reserve for a start request on its way to an upstream, and for the interval
-// of `Tick`.
-constexpr Duration kStartMargin = std::chrono::milliseconds(350);
 // Interval of reads of a list of upstreams that has become too old.
 constexpr Duration kListRefreshInterval = std::chrono::milliseconds(500);
 // An instance asks for the leadership of its domain if it has at least this
@@ -93,25 +91,29 @@
   timer_.After(kTick);
 }
 
-// An upstream may exit at the end of its notice. Without a way to learn that it
-// gave notice, the upstreams are used as listed: a store that is unreachable
-// for all nodes does not accept notices either.
-TimePoint LeadershipManager::StartLimit() {
+TimePoint LeadershipManager::StartLimit(const HeldDomain& held_domain) {
   const bool can_be_updated =
       view_.is_connected(StoreView::Part::kUpstreams) ||
       peers_.IsStoreConnectedToLeaderOtherThan(settings_.instance);
-  return can_be_updated ? view_.upstreams_as_of() + settings_.upstream_notice -
-                              kStartMargin
-                        : TimePoint::max();
+  const TimePoint as_of = can_be_updated ? view_.upstreams_as_of()
+                                         : std::max(view_.upstreams_as_of(),
+                                                    held_domain.offered_as_of);
+  return control::StartLimit({.upstream_notice = settings_.upstream_notice},
+                             {.as_of = as_of,
+                              .can_be_updated = can_be_updated,
+                              .store_answered = view_.last_answered()},
+                             runtime_.Now());
 }
 
 void LeadershipManager::CheckUpstreamListAge(TimePoint now) {
   if (held_domains_.empty()) {
     return;
   }
-  const TimePoint limit = StartLimit();
+  TimePoint limit = TimePoint::max();
   for (auto& [domain, held_domain] : held_domains_) {
-    held_domain.domain_leader->SetStartLimit(limit);
+    const TimePoint domain_limit = StartLimit(held_domain);
+    held_domain.domain_leader->SetStartLimit(domain_limit);
+    limit = std::min(limit, domain_limit);
   }
   if (now < limit || now - upstreams_refreshed_ < kListRefreshInterval) {
     return;
@@ -145,7 +147,9 @@
   }
   const auto predecessor = predecessors_.find(failure_domain);
   if (predecessor != predecessors_.end()) {
+  TimePoint offered_as_of;
     peers_.MonitorPredecessor(failure_domain, predecessor->second.record,
+    offered_as_of = predecessor->second.upstreams_as_of;
                               std::move(predecessor->second.held_upstreams));
     predecessors_.erase(predecessor);
   }
@@ -170,11 +174,13 @@
   held_domain.offered_token = token;
   const std::vector<std::string> unreleased =
       peers_.HeldByPredecessor(failure_domain);
+  held_domain.offered_as_of = offered_as_of;
   held_domain.predecessor_upstreams =
       std::set<std::string>(unreleased.begin(), unreleased.end());
   peers_.MonitorLeader(failure_domain, OwnRecord(), token);
-  held_domain.domain_leader->SetUpstreams(
-      view_.upstreams(), held_domain.predecessor_upstreams, StartLimit());
+  held_domain.domain_leader->SetUpstreams(view_.upstreams(),
+                                          held_domain.predecessor_upstreams,
+                                          StartLimit(held_domain));
 }
 
 void LeadershipManager::UpdateHeldDomain(const std::string& failure_domain,
@@ -270,10 +276,10 @@
 }
 
 void LeadershipManager::OnUpstreamsChanged() {
-  const TimePoint limit = StartLimit();
   for (auto& [domain, held_domain] : held_domains_) {
-    held_domain.domain_leader->SetUpstreams(
-        view_.upstreams(), held_domain.predecessor_upstreams, limit);
+    held_domain.domain_leader->SetUpstreams(view_.upstreams(),
+                                            held_domain.predecessor_upstreams,
+                                            StartLimit(held_domain));
   }
   if (held_domains_.empty()) {
     // A claim may have waited for the list.
@@ -298,8 +304,9 @@
                                                 unreleased.end());
     if (predecessor_upstreams != held_domain.predecessor_upstreams) {
       held_domain.predecessor_upstreams = std::move(predecessor_upstreams);
-      held_domain.domain_leader->SetUpstreams(
-          view_.upstreams(), held_domain.predecessor_upstreams, StartLimit());
+      held_domain.domain_leader->SetUpstreams(view_.upstreams(),
+                                              held_domain.predecessor_upstreams,
+                                              StartLimit(held_domain));
     }
   }
 }
--- a/src/node/leadership_manager.h
+++ b/src/node/leadership_manager.h
@@ -114,6 +114,9 @@
     std::uint64_t offered_token = 0;
     std::set<std::string> offered_to;
     bool is_offering = false;
+    // The list of upstreams that came with the delegation includes all changes
+    // before this time.
+    TimePoint offered_as_of;
     bool is_delegated = false;
   };
 
@@ -127,16 +130,17 @@
   // Since when upstreams of a domain have been reachable from this node while
   // the domain's leader is silent.
   struct DomainReachability {
+    // The list of upstreams in its delegation includes all changes before this
+    // time.
+    TimePoint upstreams_as_of;
     TimePoint reachable_since;
     TimePoint last_response;
     TimePoint last_probe;
   };
 
   void Tick();
-  // Time from which no run may start, as the list of upstreams may then miss
-  // that an upstream is shutting down; `TimePoint::max()` if neither the store
-  // nor a peer can provide a newer list.
-  TimePoint StartLimit();
+  // Time from which no run may start, see `control::StartLimit`.
+  TimePoint StartLimit(const HeldDomain& held_domain);
   void CheckUpstreamListAge(TimePoint now);
   void ConsiderElection(const std::string& failure_domain, TimePoint now);
   // True while this node leads a domain or tries to.
--- a/src/node/peer_messages.cc
+++ b/src/node/peer_messages.cc
@@ -1,5 +1,6 @@
 #include "node/peer_messages.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -376,6 +377,9 @@
     StoreSnapshot snapshot{.delegations =
                                DelegationsFrom(value.at("delegations"))};
     for (const json& prefix : value.at("mirrors")) {
+  if (offer.age) {
+    value["age_us"] = offer.age->count();
+  }
       MirrorChanges mirror{.prefix = prefix.at("prefix"),
                            .revision = prefix.at("revision"),
                            .items = ItemsFrom(prefix.at("items"))};
@@ -386,6 +390,9 @@
       }
       if (prefix.contains("age_us")) {
         mirror.age = Duration(prefix.at("age_us"));
+    if (value.contains("age_us")) {
+      offer.age = std::max(Duration(value.at("age_us")), Duration(0));
+    }
       }
       snapshot.mirrors.push_back(std::move(mirror));
     }
--- a/src/node/peer_messages.h
+++ b/src/node/peer_messages.h
@@ -103,6 +103,8 @@
   // The upstreams of the domain as listed in the store.
   MirroredItems upstreams;
 
+  // Time since the state that `upstreams` reflects; absent if not known.
+  std::optional<Duration> age;
   friend bool operator==(const DelegationOffer&,
                          const DelegationOffer&) = default;
 };
--- a/tests/peer_messages_test.cc
+++ b/tests/peer_messages_test.cc
@@ -100,7 +100,8 @@
   const DelegationOffer whole{
       .delegation = kDelegation,
       .upstreams = {{"servers/a",
-                     {.key = "servers/a", .value = "{}", .mod_revision = 9}}}};
+                     {.key = "servers/a", .value = "{}", .mod_revision = 9}}},
+      .age = Duration(1200)};
   cr_assert(DecodeDelegationOffer(Encode(whole)) == whole);
 }
 
--- a/tests/store_snapshot_test.cc
+++ b/tests/store_snapshot_test.cc
@@ -304,6 +304,47 @@
   AssertNoViolation(rig);
 }
 
+// Guards against a new leader that takes a read of the list without a response
+// for an outage of the store, and starts tasks on the old list. Its claim shows
+// that the store worked seconds after the list.
+Test(store_snapshot, new_leader_whose_read_times_out_starts_nothing) {
+  PlatformRig rig;
+  rig.AddUpstream("u4", "antwerp");
+  const std::size_t former = rig.AddNode();
+  cr_assert(rig.WaitUntilReady());
+  cr_assert(rig.loop.RunUntil([&] { return rig.LeaderOf("antwerp") >= 0; }));
+  const std::size_t leader = rig.AddNode();
+  rig.loop.RunFor(500);
+  node::LeadershipManager& leaderships = rig.node(former).leadership_manager();
+  for (const char* const domain : {"ghent", "antwerp"}) {
+    leaderships.Resign(domain, "test", "");
+  }
+  cr_assert(rig.loop.RunUntil([&] {
+    return rig.LeaderOf() == static_cast<int>(leader) &&
+           !leaderships.leads_any_domain();
+  }));
+  rig.loop.RunFor(3000);
+  rig.upstreams[0]->Register("draining");
+  rig.loop.RunFor(2500);
+  rig.store.DelayRanges(std::chrono::seconds(2));
+  rig.KillNode(leader);
+  bool was_used = false;
+  for (int job = 0; job < 25; ++job) {
+    rig.Submit(former, Id(job), 3, "100");
+    for (int step = 0; step < 10; ++step) {
+      rig.loop.RunFor(10);
+      was_used = was_used || rig.upstreams[0]->running() > 0;
+    }
+  }
+  cr_assert(!was_used, "the upstream had announced its shutdown 2.5 s before");
+  rig.store.DelayRanges(Duration(0));
+  cr_assert(rig.WaitUntilReady(2));
+  rig.Submit(former, Id(100), 3, "50");
+  cr_assert(rig.WaitForResponses());
+  cr_assert_eq(rig.StatusOf(Id(100)), 200, "%s", rig.BodyOf(Id(100)).c_str());
+  AssertNoViolation(rig);
+}
+
 // Guards against held tasks that start on the old list when a newer one
 // arrives: DRAIN in the sweep of bfp-pasbank-large at 300 instances, on
 // upstreams whose notice had ended seconds before.
