Tell a crashed upstream from a silent one and from a lapsed lease

Cause: one outcome stood for three cases: the lease lapsed at an upstream that works, the upstream was silent until the lease was over, and its process ended. All counted as crashes of the upstream by the task. Change: three outcomes. A lapsed lease counts against nobody. Refused connections until the end of the lease, or another incarnation, count as a crash; two give the task up. Silence counts less: three losses in all, and none once the same incarnation responds again (schedule/crash_history.h). A refusal is no proof that the run has ended, as a cut may look the same; the lease is waited for as before.

--- a/src/control/upstream_session.cc
+++ b/src/control/upstream_session.cc
@@ -121,7 +121,7 @@
   if (status == ResponseStatus::kOtherIncarnation) {
     // Another incarnation uses the address; the service discovery will report
     // it.
-    EndAllRuns(RunOutcome::kLeaseExpired, "other_life", outputs);
+    EndAllRuns(RunOutcome::kUpstreamCrashed, "other_life", outputs);
     ChangeState(State::kLost, "other_life", outputs);
     next_recovery_poll_ = now + options_.lost_poll_interval;
     return false;
@@ -156,7 +156,7 @@
     }
   }
   for (const RunId& run : confirmed_runs) {
-    EndRun(run, RunOutcome::kLeaseExpired, cause, outputs);
+    EndRun(run, RunOutcome::kUpstreamCrashed, cause, outputs);
   }
   poll_.reset();
   acknowledged_ = 0;
@@ -194,6 +194,7 @@
     if (no_response->not_sent) {
       EndRun(request.run, RunOutcome::kNotStarted, "not_sent", outputs);
     }
+    was_refused_ = no_response->is_refused;
     EnterRecovery(now, "start_unanswered", outputs);
     return;
   }
@@ -266,6 +267,7 @@
   const PendingPoll poll = *std::exchange(poll_, std::nullopt);
   const auto* const poll_response = std::get_if<PollResponse>(&response);
   if (poll_response == nullptr) {
+    was_refused_ = std::get<NoResponse>(response).is_refused;
     if (state_ == State::kReady) {
       EnterRecovery(now, "look_unanswered", outputs);
     } else {
@@ -430,8 +432,12 @@
     }
     case State::kRecovering:
       if (now >= lease_bound_) {
-        EndAllRuns(RunOutcome::kLeaseExpired, "silent_beyond_lease", outputs);
-        ChangeState(State::kLost, "silent_beyond_lease", outputs);
+        const std::string_view cause =
+            was_refused_ ? "refused_beyond_lease" : "silent_beyond_lease";
+        EndAllRuns(was_refused_ ? RunOutcome::kUpstreamCrashed
+                                : RunOutcome::kUpstreamSilent,
+                   cause, outputs);
+        ChangeState(State::kLost, cause, outputs);
         next_recovery_poll_ = now + options_.lost_poll_interval;
         return;
       }
--- a/src/control/upstream_session.h
+++ b/src/control/upstream_session.h
@@ -78,6 +78,9 @@
 struct NoResponse {
   // True if no byte was sent.
   bool not_sent = false;
+  // The connection was refused. The upstream's process has probably ended, but
+  // a cut may look the same.
+  bool is_refused = false;
 };
 
 // --- Outputs of the session -------------------------------------------------
@@ -207,6 +210,11 @@
 
   bool is_ready() const { return state_ == State::kReady; }
   std::size_t runs() const { return runs_.size(); }
+  // Start of the incarnation that responded last, milliseconds since the Unix
+  // epoch.
+  std::optional<std::int64_t> started_unix_ms() const {
+    return started_unix_ms_;
+  }
   std::uint64_t token() const { return token_; }
   // Upper bound of the lease ends: no run of this session is active after this
   // time, unless it starts runs or extends leases again.
@@ -302,6 +310,8 @@
   TimePoint clock_read_;
   std::optional<std::int64_t> started_unix_ms_;
   TimePoint lease_bound_;
+  // The last request without a response was refused.
+  bool was_refused_ = false;
   TimePoint next_recovery_poll_;
   TimePoint idle_since_;
 };
--- a/src/node/domain_leader.cc
+++ b/src/node/domain_leader.cc
@@ -336,7 +336,8 @@
 void DomainLeader::Handle(TimePoint now,
                           std::uint32_t upstream,
                           control::RunEnded& output) {
-  if (output.end == schedule::RunOutcome::kLeaseExpired) {
+  if (output.end == schedule::RunOutcome::kLeaseExpired ||
+      schedule::IsUpstreamLoss(output.end)) {
     LogEvent(LogLevel::kWarning, "run_lost",
              {{"id", output.run.job},
               {"task", std::to_string(output.run.step) + "." +
@@ -356,6 +357,13 @@
                           std::uint32_t upstream,
                           control::ReadinessChanged& output) {
   scheduler_.fleet().SetReady(upstream, output.is_ready, now);
+  const auto session = sessions_.find(upstream);
+  if (output.is_ready && session != sessions_.end() &&
+      session->second.started_unix_ms()) {
+    scheduler_.OnUpstreamResponse(
+        {.id = scheduler_.fleet().upstream(upstream).id,
+         .started_unix_ms = *session->second.started_unix_ms()});
+  }
   LogEvent(output.is_ready ? LogLevel::kInfo : LogLevel::kWarning,
            output.is_ready ? "upstream_ready" : "upstream_in_doubt",
            {{"upstream", scheduler_.fleet().upstream(upstream).id},
--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -33,9 +33,9 @@
   std::uint32_t failures = 0;
   // Number of runs that began and were lost or stopped.
   std::uint32_t lost = 0;
-  // Number of upstreams that were lost while the task ran there. Such a task is
-  // suspected of crashing them.
-  std::uint32_t upstreams_lost = 0;
+  // An upstream was lost while the task ran there, so the task may have crashed
+  // it.
+  bool is_suspected = false;
   std::uint32_t upstream = 0;
   TimePoint started;
   bool is_stopping = false;
--- a/src/schedule/messages.cc
+++ b/src/schedule/messages.cc
@@ -39,6 +39,10 @@
       return "stopped";
     case RunOutcome::kLeaseExpired:
       return "lapsed";
+    case RunOutcome::kUpstreamSilent:
+      return "upstream_silent";
+    case RunOutcome::kUpstreamCrashed:
+      return "upstream_crashed";
     case RunOutcome::kTakenOver:
       return "taken_over";
     case RunOutcome::kNoRoom:
@@ -51,6 +55,15 @@
   return "unknown";
 }
 
+TaskId TaskOf(const RunId& run) {
+  return {.job = run.job, .step = run.step, .index = run.index};
+}
+
+bool IsUpstreamLoss(RunOutcome outcome) {
+  return outcome == RunOutcome::kUpstreamSilent ||
+         outcome == RunOutcome::kUpstreamCrashed;
+}
+
 bool DidStart(RunOutcome outcome) {
   return outcome != RunOutcome::kNoRoom && outcome != RunOutcome::kUnhealthy &&
          outcome != RunOutcome::kNotStarted;
--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -25,15 +25,32 @@
   friend auto operator<=>(const RunId&, const RunId&) = default;
 };
 
+// Identifies one task of a job.
+struct TaskId {
+  std::string job;
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+
+  friend auto operator<=>(const TaskId&, const TaskId&) = default;
+};
+
+// The task that `run` is a run of.
+TaskId TaskOf(const RunId& run);
+
 // How a run ended.
 enum class RunOutcome {
   kSucceeded,
   kFailed,
   // Stopped at the request of the scheduler.
   kStopped,
-  // The lease expired, or the upstream's process has ended. The run is
-  // certainly no longer active.
+  // The lease expired at an upstream that still responds. For this outcome and
+  // the next two, the run is certainly no longer active.
   kLeaseExpired,
+  // The upstream did not respond until the lease had expired.
+  kUpstreamSilent,
+  // The upstream's process has ended: another incarnation responds, or the
+  // upstream refused connections until the lease had expired.
+  kUpstreamCrashed,
   // Another leader has taken over the upstream. The run is stopped there, or
   // continues until its lease expires.
   kTakenOver,
@@ -50,6 +67,10 @@
 // Returns false for outcomes of runs that never began.
 bool DidStart(RunOutcome outcome);
 
+// Returns true if the run was lost together with its upstream, which the run
+// may have caused.
+bool IsUpstreamLoss(RunOutcome outcome);
+
 // Why a job was refused or has failed.
 enum class RefusalReason {
   // More work is waiting than can be done in time.
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -45,7 +45,11 @@
   return is_fault_of_job ? HealthSignal::kNeutral : HealthSignal::kFailed;
 }
 
-Scheduler::Scheduler(SchedulerOptions options) : options_(std::move(options)) {}
+Scheduler::Scheduler(SchedulerOptions options) : options_(std::move(options)) {
+  if (!options_.crash_history) {
+    options_.crash_history = CrashHistoryPointer(new CrashHistory);
+  }
+}
 
 Scheduler::~Scheduler() {
   queue_.clear();
@@ -131,7 +135,7 @@
         }
         query.avoided_upstreams = &task.avoided_upstreams;
         query.is_retry = task.failures > 0;
-        query.is_suspected = task.upstreams_lost > 0;
+        query.is_suspected = task.is_suspected;
         const auto upstream = fleet_.Choose(query, now);
         if (upstream) {
           Start(now, job, static_cast<std::uint32_t>(step), index, *upstream,
@@ -227,7 +231,7 @@
                  "a draining upstream gets no new run", job);
   const Resources& needs = job.spec.steps[step].needs;
   fleet_.Occupy(upstream, needs, now);
-  if (task.upstreams_lost > 0) {
+  if (task.is_suspected) {
     fleet_.SetIsolated(upstream, true);
   }
   task.state = TaskState::kRunning;
@@ -246,7 +250,12 @@
   const RunId run{
       .job = job.spec.id, .step = step, .index = index, .run = task.runs};
   running_[run] = {
-      .job = &job, .step = step, .index = index, .upstream = upstream};
+      .job = &job,
+      .step = step,
+      .index = index,
+      .upstream = upstream,
+      .upstream_started_unix_ms = fleet_.upstream(upstream).started_unix_ms,
+      .is_isolating = task.is_suspected};
   if (job.waiting == 0) {
     job.unlink();
   }
@@ -288,7 +297,7 @@
   Task& task = step.tasks[running.index];
   const Resources& needs = job.spec.steps[running.step].needs;
   fleet_.Release(running.upstream, needs, HealthOf(job, task, outcome), now);
-  if (task.upstreams_lost > 0) {
+  if (running.is_isolating) {
     fleet_.SetIsolated(running.upstream, false);
   }
   if (outcome == RunOutcome::kNoRoom) {
@@ -304,6 +313,9 @@
         std::to_string(running.step) + "." + std::to_string(running.index) +
             "#" + std::to_string(run.run) + "@" +
             fleet_.upstream(running.upstream).id);
+  if (IsUpstreamLoss(outcome)) {
+    RecordLoss(now, job, running, outcome);
+  }
   if (outcome == RunOutcome::kSucceeded) {
     task.state = TaskState::kSucceeded;
   }
@@ -368,6 +380,10 @@
   Fail(now, *job, RefusalReason::kAbandoned, actions);
 }
 
+void Scheduler::OnUpstreamResponse(const UpstreamIncarnation& upstream) {
+  options_.crash_history->OnResponse(upstream);
+}
+
 void Scheduler::OnPause() {
   for (const auto& [id, run] : running_) {
     run.job->steps[run.step].tasks[run.index].is_run_time_valid = false;
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "jaypick/time.h"
+#include "schedule/crash_history.h"
 #include "schedule/fleet.h"
 #include "schedule/forecast.h"
 #include "schedule/job.h"
@@ -39,8 +40,13 @@
   Duration straggler_check_interval = std::chrono::milliseconds(25);
   // Maximum number of lost or stopped runs of one task; one more fails its job.
   std::uint32_t max_extra_runs = 3;
-  // A task under which this many upstreams were lost fails its job.
-  std::uint32_t max_upstreams_lost = 2;
+  // A task fails its job if this many upstreams have crashed under it, or if
+  // this many were lost, including those that only fell silent.
+  std::uint32_t max_crashes = 2;
+  std::uint32_t max_upstreams_lost = 3;
+  // Shared by the schedulers of one instance. If null, the scheduler keeps its
+  // own.
+  CrashHistoryPointer crash_history;
   // Fraction of the latency objective within which a waiting job may still be
   // refused in favour of others. Later, the caller has waited too long for a
   // refusal.
@@ -110,6 +116,9 @@
                   RunOutcome outcome,
                   Actions& actions);
 
+  // An upstream responds that had not responded before.
+  void OnUpstreamResponse(const UpstreamIncarnation& upstream);
+
   // This process was suspended. The run times of the current runs are not used
   // for predictions.
   void OnPause();
@@ -145,6 +154,9 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
     std::uint32_t upstream = 0;
+    std::int64_t upstream_started_unix_ms = 0;
+    // The run keeps its upstream isolated.
+    bool is_isolating = false;
   };
 
   // Admission and load shedding (scheduler_admission.cc).
@@ -187,6 +199,13 @@
                       const Job& job,
                       const StepState& step) const;
   void Unblock(Job& job);
+  // Records an upstream that was lost during the run.
+  void RecordLoss(TimePoint now,
+                  Job& job,
+                  const Running& run,
+                  RunOutcome outcome);
+  // Returns true if too many upstreams were lost under the task.
+  bool IsGivenUp(const TaskId& task) const;
   void Retry(TimePoint now,
              Job& job,
              std::uint32_t step,
--- a/src/schedule/scheduler_retries.cc
+++ b/src/schedule/scheduler_retries.cc
@@ -6,6 +6,35 @@
 
 namespace jaypick::schedule {
 
+// While no upstream is ready, this instance is probably cut off itself, and
+// silence says nothing about the task.
+void Scheduler::RecordLoss(TimePoint now,
+                           Job& job,
+                           const Running& run,
+                           RunOutcome outcome) {
+  const bool is_crash = outcome == RunOutcome::kUpstreamCrashed;
+  if (!is_crash && !fleet_.IsAnyReady()) {
+    return;
+  }
+  const TaskId task{.job = job.spec.id, .step = run.step, .index = run.index};
+  options_.crash_history->Record(
+      now, task,
+      {.id = fleet_.upstream(run.upstream).id,
+       .started_unix_ms = run.upstream_started_unix_ms},
+      is_crash ? LossCause::kCrashed : LossCause::kSilent);
+  job.steps[run.step].tasks[run.index].is_suspected = true;
+  const LossCount losses = options_.crash_history->LossesOf(task);
+  Trace(now, job, "suspected",
+        "crashed=" + std::to_string(losses.crashed) +
+            " silent=" + std::to_string(losses.silent));
+}
+
+bool Scheduler::IsGivenUp(const TaskId& task) const {
+  const LossCount losses = options_.crash_history->LossesOf(task);
+  return losses.crashed >= options_.max_crashes ||
+         losses.crashed + losses.silent >= options_.max_upstreams_lost;
+}
+
 void Scheduler::Retry(TimePoint now,
                       Job& job,
                       std::uint32_t step_number,
@@ -19,10 +48,6 @@
   } else if (DidStart(outcome)) {
     ++task.lost;
   }
-  if (outcome == RunOutcome::kLeaseExpired && fleet_.IsAnyReady()) {
-    ++task.upstreams_lost;
-    Trace(now, job, "suspected", std::to_string(task.upstreams_lost));
-  }
   if (outcome != RunOutcome::kNoRoom && outcome != RunOutcome::kNotStarted) {
     task.avoided_upstreams.push_back(task.upstream);
   }
@@ -34,8 +59,10 @@
     Fail(now, job, RefusalReason::kCommandLost, actions);
     return;
   }
-  if (task.failures >= job.spec.kind.max_attempts ||
-      task.upstreams_lost >= options_.max_upstreams_lost) {
+  const bool is_given_up =
+      task.is_suspected &&
+      IsGivenUp({.job = job.spec.id, .step = step_number, .index = index});
+  if (task.failures >= job.spec.kind.max_attempts || is_given_up) {
     Fail(now, job, RefusalReason::kTaskFailed, actions);
     return;
   }
