Count crashes of upstreams beyond one submission and one leader

Cause: the count belonged to the record of one submission at one leader. The class of fault: a limit whose count lives shorter than what it limits. Change: the history of lost upstreams belongs to the instance. A job that is submitted again begins with it, and is shown as failed at once if one of its tasks has crashed two upstreams. Leaders report losses in ping responses, each once to each peer that may succeed them or lead another domain: at most 64 a response, by sequence number, merged in any order. Ruled out: the count in the forwarded job or in the answer to the caller, as both end with the instance that took the job.

--- a/src/node/leadership_manager.cc
+++ b/src/node/leadership_manager.cc
@@ -56,6 +56,7 @@
       peers_(peers),
       upstream_client_(upstream_client),
       started_(runtime.Now()),
+      crash_history_(new schedule::CrashHistory),
       timer_(runtime.base(), [this] { Tick(); }),
       lost_timer_(runtime.base(), [this] { RetireLostLeaders(); }),
       is_alive_(std::make_shared<bool>(true)) {}
@@ -146,10 +147,10 @@
     return;
   }
   const auto predecessor = predecessors_.find(failure_domain);
-  if (predecessor != predecessors_.end()) {
   TimePoint offered_as_of;
-    peers_.MonitorPredecessor(failure_domain, predecessor->second.record,
+  if (predecessor != predecessors_.end()) {
     offered_as_of = predecessor->second.upstreams_as_of;
+    peers_.MonitorPredecessor(failure_domain, predecessor->second.record,
                               std::move(predecessor->second.held_upstreams));
     predecessors_.erase(predecessor);
   }
@@ -164,6 +165,7 @@
     LogEvent(LogLevel::kError, "invariant_violated",
              {{"invariant", std::string(invariant)}, {"job", detail}});
   };
+  options.scheduler.crash_history = crash_history_;
   options.on_lost = [this] { lost_timer_.After(Duration(0)); };
   HeldDomain& held_domain = held_domains_[failure_domain];
   held_domain.domain_leader = std::make_unique<DomainLeader>(
@@ -172,9 +174,9 @@
   held_domain.lease = lease;
   held_domain.last_renewal = now;
   held_domain.offered_token = token;
+  held_domain.offered_as_of = offered_as_of;
   const std::vector<std::string> unreleased =
       peers_.HeldByPredecessor(failure_domain);
-  held_domain.offered_as_of = offered_as_of;
   held_domain.predecessor_upstreams =
       std::set<std::string>(unreleased.begin(), unreleased.end());
   peers_.MonitorLeader(failure_domain, OwnRecord(), token);
@@ -293,7 +295,8 @@
   }
 }
 
-void LeadershipManager::OnPingResponse() {
+void LeadershipManager::OnPingResponse(const PingResponse& response) {
+  crash_history_->Merge(runtime_.Now(), response.losses);
   for (auto& [domain, held_domain] : held_domains_) {
     const std::vector<std::string> unreleased =
         peers_.HeldByPredecessor(domain);
--- a/src/node/leadership_manager.h
+++ b/src/node/leadership_manager.h
@@ -18,6 +18,7 @@
 #include "node/settings.h"
 #include "node/store_view.h"
 #include "node/upstream_client.h"
+#include "schedule/crash_history.h"
 
 namespace jaypick::node {
 
@@ -59,8 +60,8 @@
   // suspended.
   void OnPause();
   // Called after each ping response. It may show that a predecessor has
-  // released upstreams.
-  void OnPingResponse();
+  // released upstreams, and which upstreams the sender has lost.
+  void OnPingResponse(const PingResponse& response);
   // Called for each ping that arrives. The sender may be the successor of a
   // domain or a candidate for it.
   void OnPing(const Ping& ping);
@@ -83,6 +84,10 @@
   std::vector<LeadershipStatus> Statuses();
   bool leads_any_domain() const { return !held_domains_.empty(); }
   const std::vector<Delegation>& delegations() const { return delegations_; }
+  // Upstreams that this node and its peers have lost.
+  const schedule::CrashHistory& crash_history() const {
+    return *crash_history_;
+  }
   // By instance name. Every node pings the leaders of its domains, so a leader
   // learns of all nodes that use them.
   const std::map<std::string, Peer>& known_peers() const {
@@ -109,14 +114,14 @@
     std::string successor;
     // Upstreams that the predecessor has not released yet.
     std::set<std::string> predecessor_upstreams;
+    // The list of upstreams that came with the delegation includes all changes
+    // before this time.
+    TimePoint offered_as_of;
     // The highest fencing token offered to a successor so far, and the
     // incarnations that were offered one.
     std::uint64_t offered_token = 0;
     std::set<std::string> offered_to;
     bool is_offering = false;
-    // The list of upstreams that came with the delegation includes all changes
-    // before this time.
-    TimePoint offered_as_of;
     bool is_delegated = false;
   };
 
@@ -125,14 +130,14 @@
     // Upstreams that it has not released, as stated in its delegation; empty if
     // the leadership was not delegated.
     std::vector<std::string> held_upstreams;
+    // The list of upstreams in its delegation includes all changes before this
+    // time.
+    TimePoint upstreams_as_of;
   };
 
   // Since when upstreams of a domain have been reachable from this node while
   // the domain's leader is silent.
   struct DomainReachability {
-    // The list of upstreams in its delegation includes all changes before this
-    // time.
-    TimePoint upstreams_as_of;
     TimePoint reachable_since;
     TimePoint last_response;
     TimePoint last_probe;
@@ -228,6 +233,7 @@
   std::vector<std::unique_ptr<DomainLeader>> retired_;
   bool is_draining_ = false;
   TimePoint started_;
+  schedule::CrashHistoryPointer crash_history_;
   Timer timer_;
   // A domain leader detects its loss deep inside other calls, so the clean-up
   // is deferred to the event loop.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -57,8 +57,8 @@
                 .is_draining = is_shutting_down_,
                 .requested_domains = leadership_manager_.RequestedDomains()};
           },
-          [this](const Address& /*peer*/, const PingResponse& /*response*/) {
-            leadership_manager_.OnPingResponse();
+          [this](const Address& /*peer*/, const PingResponse& response) {
+            leadership_manager_.OnPingResponse(response);
           }),
       leadership_manager_(runtime_,
                           settings_,
--- a/src/node/peer_messages.cc
+++ b/src/node/peer_messages.cc
@@ -191,6 +191,29 @@
           .leader_revision = value.at("leaders")};
 }
 
+json ToJson(const schedule::UpstreamLoss& loss) {
+  return {{"job", loss.task.job},
+          {"step", loss.task.step},
+          {"index", loss.task.index},
+          {"upstream", loss.upstream.id},
+          {"started_ms", loss.upstream.started_unix_ms},
+          {"cause", static_cast<int>(loss.cause)},
+          {"age_us", loss.age.count()}};
+}
+
+schedule::UpstreamLoss LossFrom(const json& value) {
+  const int cause =
+      std::clamp(value.at("cause").get<int>(), 0,
+                 static_cast<int>(schedule::LossCause::kRecovered));
+  return {.task = {.job = value.at("job"),
+                   .step = value.at("step"),
+                   .index = value.at("index")},
+          .upstream = {.id = value.at("upstream"),
+                       .started_unix_ms = value.at("started_ms")},
+          .cause = static_cast<schedule::LossCause>(cause),
+          .age = Duration(value.at("age_us"))};
+}
+
 struct OutcomeToJson {
   json operator()(const schedule::Completed&) const {
     return {{"outcome", "completed"}};
@@ -254,16 +277,24 @@
 }
 
 std::string Encode(const Ping& message) {
-  return Dump({{"sender", ToJson(message.sender)},
-               {"draining", message.is_draining},
-               {"wanted", message.requested_domains}});
+  json value = {{"sender", ToJson(message.sender)},
+                {"draining", message.is_draining},
+                {"wanted", message.requested_domains}};
+  if (message.losses_after) {
+    value["losses_after"] = *message.losses_after;
+  }
+  return Dump(value);
 }
 
 std::optional<Ping> DecodePing(std::string_view text) {
   return DecodeWith<Ping>(text, [](const json& value) {
-    return Ping{.sender = RecordFrom(value.at("sender")),
-                .is_draining = value.at("draining"),
-                .requested_domains = value.at("wanted")};
+    Ping ping{.sender = RecordFrom(value.at("sender")),
+              .is_draining = value.at("draining"),
+              .requested_domains = value.at("wanted")};
+    if (value.contains("losses_after")) {
+      ping.losses_after = value.at("losses_after").get<std::uint64_t>();
+    }
+    return ping;
   });
 }
 
@@ -278,13 +309,21 @@
                        {"incarnation", each.incarnation},
                        {"age_us", each.age.count()}});
   }
-  return Dump({{"clock_us", message.clock_us},
-               {"incarnation", message.incarnation},
-               {"configuration", message.configuration_version},
-               {"commands", std::move(statuses)},
-               {"delegations", ToJson(message.delegations)},
-               {"store", ToJson(message.store)},
-               {"relayed", std::move(relayed)}});
+  json value = {{"clock_us", message.clock_us},
+                {"incarnation", message.incarnation},
+                {"configuration", message.configuration_version},
+                {"commands", std::move(statuses)},
+                {"delegations", ToJson(message.delegations)},
+                {"store", ToJson(message.store)},
+                {"relayed", std::move(relayed)},
+                {"losses_until", message.losses_until}};
+  if (!message.losses.empty()) {
+    json& losses = value["losses"] = json::array();
+    for (const schedule::UpstreamLoss& loss : message.losses) {
+      losses.push_back(ToJson(loss));
+    }
+  }
+  return Dump(value);
 }
 
 std::optional<PingResponse> DecodePingResponse(std::string_view text) {
@@ -307,6 +346,14 @@
                                     .age = Duration(each.at("age_us"))});
       }
     }
+    if (value.contains("losses_until")) {
+      response.losses_until = value.at("losses_until");
+    }
+    if (value.contains("losses")) {
+      for (const json& loss : value.at("losses")) {
+        response.losses.push_back(LossFrom(loss));
+      }
+    }
     return response;
   });
 }
@@ -330,6 +377,9 @@
 std::string Encode(const DelegationOffer& offer) {
   json value = ToJson(offer.delegation);
   value["upstreams"] = ToJson(offer.upstreams);
+  if (offer.age) {
+    value["age_us"] = offer.age->count();
+  }
   return Dump(value);
 }
 
@@ -340,6 +390,9 @@
     if (value.contains("upstreams")) {
       offer.upstreams = ItemsFrom(value.at("upstreams"));
     }
+    if (value.contains("age_us")) {
+      offer.age = std::max(Duration(value.at("age_us")), Duration(0));
+    }
     return offer;
   });
 }
@@ -377,9 +430,6 @@
     StoreSnapshot snapshot{.delegations =
                                DelegationsFrom(value.at("delegations"))};
     for (const json& prefix : value.at("mirrors")) {
-  if (offer.age) {
-    value["age_us"] = offer.age->count();
-  }
       MirrorChanges mirror{.prefix = prefix.at("prefix"),
                            .revision = prefix.at("revision"),
                            .items = ItemsFrom(prefix.at("items"))};
@@ -390,9 +440,6 @@
       }
       if (prefix.contains("age_us")) {
         mirror.age = Duration(prefix.at("age_us"));
-    if (value.contains("age_us")) {
-      offer.age = std::max(Duration(value.at("age_us")), Duration(0));
-    }
       }
       snapshot.mirrors.push_back(std::move(mirror));
     }
--- a/src/node/peer_messages.h
+++ b/src/node/peer_messages.h
@@ -11,6 +11,7 @@
 #include "jaypick/instance.h"
 #include "jaypick/time.h"
 #include "node/prefix_mirror.h"
+#include "schedule/crash_history.h"
 #include "schedule/job_spec.h"
 #include "schedule/messages.h"
 #include "schedule/scheduler.h"
@@ -102,9 +103,9 @@
   Delegation delegation;
   // The upstreams of the domain as listed in the store.
   MirroredItems upstreams;
-
   // Time since the state that `upstreams` reflects; absent if not known.
   std::optional<Duration> age;
+
   friend bool operator==(const DelegationOffer&,
                          const DelegationOffer&) = default;
 };
@@ -122,6 +123,9 @@
   // Domains whose leadership this instance requests because it is the better
   // choice.
   std::vector<std::string> requested_domains;
+  // Requests the losses of upstreams that the receiver has seen after this
+  // sequence number. Absent if the sender does not need them.
+  std::optional<std::uint64_t> losses_after;
 
   friend bool operator==(const Ping&, const Ping&) = default;
 };
@@ -151,6 +155,10 @@
   // Other domains, if the sender leads one. They spare most nodes the pings to
   // the leaders of other domains.
   std::vector<RelayedStatus> relayed;
+  // Losses of upstreams, if the ping requested them, and the sequence number up
+  // to which they are complete.
+  std::vector<schedule::UpstreamLoss> losses;
+  std::uint64_t losses_until = 0;
 
   friend bool operator==(const PingResponse&, const PingResponse&) = default;
 };
--- a/src/node/peer_server.cc
+++ b/src/node/peer_server.cc
@@ -19,6 +19,9 @@
 // elsewhere after 1.3 s at the earliest.
 constexpr Duration kInstanceSilenceLimit = std::chrono::milliseconds(900);
 constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
+// Maximum number of losses of upstreams in one ping response; the next
+// responses hold the others.
+constexpr std::size_t kMaxLossesPerResponse = 64;
 
 http::Response OkResponse(std::string body) {
   return {.status = 200, .headers = {}, .body = std::move(body)};
@@ -208,6 +211,11 @@
   std::vector<RelayedStatus> relayed = statuses.empty()
                                            ? std::vector<RelayedStatus>()
                                            : peers_.RelayedStatuses(statuses);
+  std::pair<std::vector<schedule::UpstreamLoss>, std::uint64_t> losses;
+  if (ping->losses_after) {
+    losses = leadership_manager_.crash_history().Since(now, *ping->losses_after,
+                                                       kMaxLossesPerResponse);
+  }
   responder.Send(OkResponse(Encode(PingResponse{
       .clock_us = now.time_since_epoch().count(),
       .incarnation = incarnation_,
@@ -215,7 +223,9 @@
       .statuses = std::move(statuses),
       .delegations = leadership_manager_.delegations(),
       .store = view_.status(),
-      .relayed = std::move(relayed)})));
+      .relayed = std::move(relayed),
+      .losses = std::move(losses.first),
+      .losses_until = losses.second})));
 }
 
 void PeerServer::OnDelegation(const http::Request& request,
--- a/src/node/peers.cc
+++ b/src/node/peers.cc
@@ -314,7 +314,6 @@
     addresses.insert(monitored.record.address);
   }
   const TimePoint now = runtime_.Now();
-  const std::string body = Encode(ping_());
   for (const Address& address : addresses) {
     Peer& peer = peers_[address];
     if (peer.pending_pings >= kPingConnections) {
@@ -322,17 +321,33 @@
     }
     ++peer.pending_pings;
     peer.last_ping = now;
-    ping_client_.Send(
-        address,
-        {.method = http::Method::kPost, .path = kPingPath, .body = body},
-        [this, address](const http::ClientResult& result) {
-          OnPingResult(address, result);
-        });
+    ping_client_.Send(address,
+                      {.method = http::Method::kPost,
+                       .path = kPingPath,
+                       .body = EncodePingTo(address)},
+                      [this, address](const http::ClientResult& result) {
+                        OnPingResult(address, result);
+                      });
   }
   timer_.After(predecessors_.empty() ? options_.ping_interval
                                      : options_.hand_over_interval);
 }
 
+std::string Peers::EncodePingTo(const Address& address) {
+  Ping ping = ping_();
+  if (NeedsLossesOf(address, ping.sender.failure_domain)) {
+    ping.losses_after = peers_[address].losses_until;
+  }
+  return Encode(ping);
+}
+
+bool Peers::NeedsLossesOf(const Address& address,
+                          const std::string& own_domain) const {
+  const auto own_leader = monitored_.find(own_domain);
+  return !uses_relays_ || (own_leader != monitored_.end() &&
+                           own_leader->second.record.address == address);
+}
+
 void Peers::Confirm(const std::string& failure_domain,
                     std::function<void(LeaderState)> callback) {
   const LeaderRecord* const leader = LeaderOf(failure_domain);
@@ -348,7 +363,7 @@
       address,
       {.method = http::Method::kPost,
        .path = kPingPath,
-       .body = Encode(ping_())},
+       .body = EncodePingTo(address)},
       [this, address, failure_domain,
        callback = std::move(callback)](const http::ClientResult& result) {
         OnPingResult(address, result);
@@ -429,6 +444,10 @@
   peer.consecutive_refusals = 0;
   peer.last_response = runtime_.Now();
   peer.clock_us = decoded->clock_us;
+  // A new process counts its losses anew.
+  peer.losses_until = peer.incarnation == decoded->incarnation
+                          ? std::max(peer.losses_until, decoded->losses_until)
+                          : 0;
   peer.incarnation = decoded->incarnation;
   peer.statuses = decoded->statuses;
   peer.store = decoded->store;
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -147,6 +147,8 @@
     std::uint32_t pending_pings = 0;
     std::vector<LeadershipStatus> statuses;
     StoreStatus store;
+    // Sequence number up to which its losses of upstreams are known.
+    std::uint64_t losses_until = 0;
   };
   struct MonitoredLeader {
     LeaderRecord record;
@@ -169,6 +171,11 @@
   bool IsPingDue(const std::string& failure_domain,
                  const MonitoredLeader& monitored,
                  TimePoint now) const;
+  std::string EncodePingTo(const Address& address);
+  // True if this node may come to lead upstreams that the leader at `address`
+  // leads now, or to get jobs from there.
+  bool NeedsLossesOf(const Address& address,
+                     const std::string& own_domain) const;
   void OnPingResult(const Address& address, const http::ClientResult& result);
   void OnRelayedStatus(const RelayedStatus& relayed, TimePoint now);
   void OnRequestEnded(const Address& peer);
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -199,6 +199,9 @@
                       const Job& job,
                       const StepState& step) const;
   void Unblock(Job& job);
+  // Marks tasks that may have crashed an upstream, also in earlier submissions
+  // of the job. Returns true if one of them is given up.
+  bool MarkSuspects(Job& job);
   // Records an upstream that was lost during the run.
   void RecordLoss(TimePoint now,
                   Job& job,
--- a/src/schedule/scheduler_admission.cc
+++ b/src/schedule/scheduler_admission.cc
@@ -72,6 +72,10 @@
   const JobPointer job = MakeJob(std::move(spec), arrival, deadline);
   jobs_[job->spec.id] = job;
   served_fractions_.OnOffered(job->job_class, job->work, now);
+  if (MarkSuspects(*job)) {
+    EndJob(now, *job, Failed{.reason = RefusalReason::kTaskFailed}, actions);
+    return;
+  }
   if (const auto reason = CheckOffered(now, *job)) {
     Refuse(now, *job, *reason, actions);
     return;
--- a/src/schedule/scheduler_retries.cc
+++ b/src/schedule/scheduler_retries.cc
@@ -6,6 +6,20 @@
 
 namespace jaypick::schedule {
 
+bool Scheduler::MarkSuspects(Job& job) {
+  bool is_given_up = false;
+  for (const TaskId& suspect :
+       options_.crash_history->SuspectsOf(job.spec.id)) {
+    if (suspect.step >= job.steps.size() ||
+        suspect.index >= job.steps[suspect.step].tasks.size()) {
+      continue;
+    }
+    job.steps[suspect.step].tasks[suspect.index].is_suspected = true;
+    is_given_up = is_given_up || IsGivenUp(suspect);
+  }
+  return is_given_up;
+}
+
 // While no upstream is ready, this instance is probably cut off itself, and
 // silence says nothing about the task.
 void Scheduler::RecordLoss(TimePoint now,
--- a/standins/platform_service.h
+++ b/standins/platform_service.h
@@ -131,10 +131,12 @@
 };
 
 // How a run of a task behaves. It is parsed from the task's spec: "80" succeeds
-// after 80 ms, "fail 20" fails after 20 ms.
+// after 80 ms, "fail 20" fails after 20 ms, and "crash 20" crashes the upstream
+// after 20 ms.
 struct TaskScript {
   Duration run_time{0};
   bool fails = false;
+  bool crashes = false;
 };
 TaskScript ParseScript(const std::string& spec);
 
@@ -157,6 +159,8 @@
     std::map<std::string, int> running;
     std::vector<std::string> violations;
     std::size_t started = 0;
+    // Number of upstreams that a run has crashed.
+    std::size_t crashes = 0;
     std::set<std::string> started_jobs;
   };
 
@@ -200,6 +204,7 @@
     std::uint32_t milli_cpus = 0;
     TimePoint end_time;
     bool fails = false;
+    bool crashes = false;
   };
   // The end of a run, reported to the leader until it acknowledges it.
   struct RunEnd {
--- a/standins/platform_upstream.cc
+++ b/standins/platform_upstream.cc
@@ -22,6 +22,8 @@
   while (words >> word) {
     if (word == "fail") {
       script.fails = true;
+    } else if (word == "crash") {
+      script.crashes = true;
     } else {
       script.run_time = std::chrono::milliseconds(std::stoll(word));
     }
@@ -152,7 +154,8 @@
   const TaskScript script = ParseScript(body.at("spec"));
   runs_[task] = {.number = run,
                  .end_time = runtime_.Now() + script.run_time,
-                 .fails = script.fails};
+                 .fails = script.fails,
+                 .crashes = script.crashes};
   ++run_monitor_.started;
   run_monitor_.started_jobs.insert(task.substr(0, task.find('.')));
   if (++run_monitor_.running[task] > 1) {
@@ -247,6 +250,14 @@
     delayed_requests_.erase(delayed_requests_.begin());
     handler();
   }
+  const bool has_crashed = std::ranges::any_of(runs_, [&](const auto& entry) {
+    return entry.second.crashes && now >= entry.second.end_time &&
+           now < lease_expiry_;
+  });
+  if (has_crashed) {
+    ++run_monitor_.crashes;
+    Restart();
+  }
   std::vector<std::pair<std::string, std::string>> finished;
   for (const auto& [task, run] : runs_) {
     if (now >= lease_expiry_) {
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -73,6 +73,37 @@
   AssertNoViolation(rig);
 }
 
+// Guards against a task that crashes as many upstreams under each new leader of
+// its domain, as the count of crashes ended with the leader.
+Test(node, successor_counts_the_upstreams_that_a_task_has_crashed) {
+  PlatformRig rig;
+  for (const char* const id : {"u4", "u5", "u6"}) {
+    rig.AddUpstream(id);
+  }
+  rig.AddNode();
+  rig.AddNode();
+  cr_assert(rig.WaitUntilReady(6));
+  rig.loop.RunFor(500);
+  const auto dead = static_cast<std::size_t>(rig.LeaderOf());
+  rig.Submit(1 - dead, Id(0), 1, "crash 800", "/fit/", 9000);
+  cr_assert(rig.loop.RunUntil([&] { return rig.run_monitor.started == 2; }));
+  // The follower learns of the first crash with its next ping.
+  rig.loop.RunFor(400);
+  cr_assert_eq(rig.run_monitor.crashes, 1);
+  rig.KillNode(dead);
+  cr_assert(rig.WaitUntilReady());
+  cr_assert(rig.WaitForResponses());
+  const std::size_t crashes = rig.run_monitor.crashes;
+  for (int submission = 0; submission < 2; ++submission) {
+    rig.Submit(1 - dead, Id(0), 1, "crash 50", "/fit/", 9000);
+    cr_assert(rig.WaitForResponses());
+  }
+  cr_assert_eq(rig.run_monitor.crashes, crashes + 1);
+  cr_assert(rig.BodyOf(Id(0)).find("failed") != std::string::npos, "%s",
+            rig.BodyOf(Id(0)).c_str());
+  AssertNoViolation(rig);
+}
+
 // Guards against two concurrent runs of a task, which happen if a start request
 // is carried out after its retry.
 Test(node, late_orders_do_not_run_beside_their_repetition) {
--- a/tests/peer_messages_test.cc
+++ b/tests/peer_messages_test.cc
@@ -33,6 +33,9 @@
   const Ping ping{
       .sender = kFrom, .is_draining = true, .requested_domains = {"ghent"}};
   cr_assert(DecodePing(Encode(ping)) == ping);
+  Ping request = ping;
+  request.losses_after = 17;
+  cr_assert(DecodePing(Encode(request)) == request);
   const PingResponse response{
       .clock_us = 12,
       .incarnation = "1-2",
@@ -48,12 +51,19 @@
                 .leader_revision = 6},
       .relayed = {{.status = {.failure_domain = "antwerp"},
                    .incarnation = "3-4",
-                   .age = Duration(70)}}};
+                   .age = Duration(70)}},
+      .losses = {{.task = {.job = "5c0e7a21d94b36f8", .step = 1, .index = 2},
+                  .upstream = {.id = "u1", .started_unix_ms = 9},
+                  .cause = schedule::LossCause::kCrashed,
+                  .age = Duration(80)}},
+      .losses_until = 18};
   const auto read = DecodePingResponse(Encode(response));
   cr_assert(read.has_value());
   cr_assert(read->delegations == response.delegations);
   cr_assert(read->store == response.store);
   cr_assert(read->relayed == response.relayed);
+  cr_assert(read->losses == response.losses);
+  cr_assert_eq(read->losses_until, response.losses_until);
   cr_assert_eq(read->statuses.size(), 1);
   cr_assert(read->statuses[0].held_upstreams ==
             response.statuses[0].held_upstreams);
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -101,6 +101,32 @@
   cr_assert(std::get<Failed>(outcome).reason == RefusalReason::kTaskFailed);
 }
 
+// Guards against a task that crashes further upstreams each time its job is
+// submitted again: the count of crashes ended with the answer to the job.
+Test(scheduler, crashes_count_when_the_job_is_submitted_again) {
+  SchedulerRig rig;
+  rig.AddUpstream("u1", 16000);
+  rig.AddUpstream("u2", 16000);
+  rig.plan = [](const RunId&, std::uint32_t) {
+    return RunPlan{.takes = milliseconds(25),
+                   .end = RunOutcome::kUpstreamCrashed};
+  };
+  // No second run can end before the caller leaves.
+  for (int submission = 0; submission < 4; ++submission) {
+    rig.Submit("a", Kind(3), 1, 6800, milliseconds(20), milliseconds(30));
+    rig.RunFor(milliseconds(100));
+    Fleet& fleet = rig.scheduler().fleet();
+    for (std::uint32_t number = 0; number < fleet.size(); ++number) {
+      Upstream restarted = fleet.upstream(number);
+      ++restarted.started_unix_ms;
+      fleet.Update(restarted);
+    }
+  }
+  cr_assert_eq(rig.starts.size(), 2, "started %zu times", rig.starts.size());
+  const auto& outcome = rig.results.at("a").outcome;
+  cr_assert(std::get<Failed>(outcome).reason == RefusalReason::kTaskFailed);
+}
+
 // Guards against a sound task that is given up because its leases lapsed while
 // its leader was paused, or because upstreams fell silent for a while.
 Test(scheduler, sound_task_outlives_silent_upstreams) {
