Derive the sequence number of sent losses from the last one sent

Cause: CrashHistory::Since computed the number in two ways, depending on whether the limit was reached, which a reader has to check against each other. Change: the number is that of the last loss in the response, or the one that was asked for if there is none.

--- a/src/schedule/crash_history.cc
+++ b/src/schedule/crash_history.cc
@@ -57,20 +57,16 @@
     std::uint64_t sequence,
     std::size_t limit) const {
   std::vector<UpstreamLoss> losses;
-  std::uint64_t last = last_sequence_;
-  for (auto it = by_sequence_.upper_bound(sequence); it != by_sequence_.end();
-       ++it) {
-    if (losses.size() == limit) {
-      break;
-    }
+  for (auto it = by_sequence_.upper_bound(sequence);
+       it != by_sequence_.end() && losses.size() < limit; ++it) {
     const Entry& entry = losses_.at(it->second);
     losses.push_back({.task = it->second.first,
                       .upstream = it->second.second,
                       .cause = entry.cause,
                       .age = now - entry.lost_at});
-    last = losses.size() == limit ? it->first : last_sequence_;
+    sequence = it->first;
   }
-  return {std::move(losses), last};
+  return {std::move(losses), sequence};
 }
 
 void CrashHistory::Merge(TimePoint now,
