Trace jobs that are given up for crashes under earlier submissions

Cause: such a job ended as task_failed with an empty trace, so that its log line could not be told from one of a job whose task failed on its last attempt. Change: the trace says given_up. Measured: scheduler/* (22 tests) pass; a log line only, nothing decides on it.

--- a/src/schedule/scheduler_admission.cc
+++ b/src/schedule/scheduler_admission.cc
@@ -73,6 +73,7 @@
   jobs_[job->spec.id] = job;
   served_fractions_.OnOffered(job->job_class, job->work, now);
   if (MarkSuspects(*job)) {
+    Trace(now, *job, "given_up", "upstreams crashed in earlier submissions");
     EndJob(now, *job, Failed{.reason = RefusalReason::kTaskFailed}, actions);
     return;
   }
