Hold back only new leaders whose list is older than their claim

A slow store answers some calls and lets others time out, so a list that its leader had kept up to date looked overdue after the first such answer. Change: the sign that the store worked is the claim of the leader itself. A list that is over 3 s older than the claim comes from an earlier leadership; its leader waits for a read, 3 s at most. Other leaders use their list while the store is away, as before, and so do leaders by delegation; the age in the offers is not needed.

--- a/src/control/start_limit.cc
+++ b/src/control/start_limit.cc
@@ -5,9 +5,11 @@
 TimePoint StartLimit(const StartLimitOptions& options,
                      const UpstreamListState& list,
                      TimePoint now) {
-  const bool has_lagged = list.store_answered - list.as_of > options.max_lag;
-  const bool is_hold_over = now - list.store_answered >= options.max_hold;
-  if (!list.can_be_updated && (!has_lagged || is_hold_over)) {
+  const bool waits_for_first_read =
+      list.claimed_at &&
+      *list.claimed_at - list.as_of > options.max_age_at_claim &&
+      now - *list.claimed_at < options.max_hold;
+  if (!list.can_be_updated && !waits_for_first_read) {
     return TimePoint::max();
   }
   return list.as_of + options.upstream_notice - options.margin;
--- a/src/node/leadership_delegation.cc
+++ b/src/node/leadership_delegation.cc
@@ -5,7 +5,6 @@
 // domain until the store is back. The range of fencing tokens that comes with a
 // leader record belongs to that leader alone, so it can pass the upper part of
 // the range on to a successor.
-#include <algorithm>
 #include <utility>
 
 #include "control/fencing_token.h"
@@ -65,9 +64,7 @@
        .path = kDelegationPath,
        .body = Encode(
            DelegationOffer{.delegation = delegation,
-                           .upstreams = view_.UpstreamItems(failure_domain),
-                           .age = now - std::max(view_.upstreams_as_of(),
-                                                 held_domain.offered_as_of)})},
+                           .upstreams = view_.UpstreamItems(failure_domain)})},
       kOfferTimeout,
       [this, delegation, alive = is_alive_](const http::ClientResult& result) {
         if (!*alive) {
@@ -130,18 +127,15 @@
     return;
   }
   view_.ImportUpstreams(offer.upstreams);
-  const TimePoint upstreams_as_of =
-      offer.age ? runtime_.Now() - *offer.age - kOfferTimeout : TimePoint();
   // If no upstream can be reached from here, the offer is left unanswered so
   // that it goes to another node.
   Probe(domain, [this, domain, revision, delegation, can_accept,
-                 upstreams_as_of, respond = std::move(respond)] {
+                 respond = std::move(respond)] {
     if (!can_accept()) {
       return;
     }
     predecessors_[domain] = {.record = delegation.from,
-                             .held_upstreams = delegation.held_upstreams,
-                             .upstreams_as_of = upstreams_as_of};
+                             .held_upstreams = delegation.held_upstreams};
     BecomeLeader(domain, 0, revision, delegation.token);
     respond(true);
   });
--- a/src/node/leadership_manager.cc
+++ b/src/node/leadership_manager.cc
@@ -96,13 +96,10 @@
   const bool can_be_updated =
       view_.is_connected(StoreView::Part::kUpstreams) ||
       peers_.IsStoreConnectedToLeaderOtherThan(settings_.instance);
-  const TimePoint as_of = can_be_updated ? view_.upstreams_as_of()
-                                         : std::max(view_.upstreams_as_of(),
-                                                    held_domain.offered_as_of);
   return control::StartLimit({.upstream_notice = settings_.upstream_notice},
-                             {.as_of = as_of,
+                             {.as_of = view_.upstreams_as_of(),
                               .can_be_updated = can_be_updated,
-                              .store_answered = view_.last_answered()},
+                              .claimed_at = held_domain.claimed_at},
                              runtime_.Now());
 }
 
@@ -147,9 +144,7 @@
     return;
   }
   const auto predecessor = predecessors_.find(failure_domain);
-  TimePoint offered_as_of;
   if (predecessor != predecessors_.end()) {
-    offered_as_of = predecessor->second.upstreams_as_of;
     peers_.MonitorPredecessor(failure_domain, predecessor->second.record,
                               std::move(predecessor->second.held_upstreams));
     predecessors_.erase(predecessor);
@@ -174,7 +169,9 @@
   held_domain.lease = lease;
   held_domain.last_renewal = now;
   held_domain.offered_token = token;
-  held_domain.offered_as_of = offered_as_of;
+  if (lease != 0) {
+    held_domain.claimed_at = now;
+  }
   const std::vector<std::string> unreleased =
       peers_.HeldByPredecessor(failure_domain);
   held_domain.predecessor_upstreams =
--- a/src/node/leadership_manager.h
+++ b/src/node/leadership_manager.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -114,9 +115,8 @@
     std::string successor;
     // Upstreams that the predecessor has not released yet.
     std::set<std::string> predecessor_upstreams;
-    // The list of upstreams that came with the delegation includes all changes
-    // before this time.
-    TimePoint offered_as_of;
+    // When the store accepted the claim; absent after a delegation.
+    std::optional<TimePoint> claimed_at;
     // The highest fencing token offered to a successor so far, and the
     // incarnations that were offered one.
     std::uint64_t offered_token = 0;
@@ -130,9 +130,6 @@
     // Upstreams that it has not released, as stated in its delegation; empty if
     // the leadership was not delegated.
     std::vector<std::string> held_upstreams;
-    // The list of upstreams in its delegation includes all changes before this
-    // time.
-    TimePoint upstreams_as_of;
   };
 
   // Since when upstreams of a domain have been reachable from this node while
--- a/src/node/peer_messages.cc
+++ b/src/node/peer_messages.cc
@@ -377,9 +377,6 @@
 std::string Encode(const DelegationOffer& offer) {
   json value = ToJson(offer.delegation);
   value["upstreams"] = ToJson(offer.upstreams);
-  if (offer.age) {
-    value["age_us"] = offer.age->count();
-  }
   return Dump(value);
 }
 
@@ -390,9 +387,6 @@
     if (value.contains("upstreams")) {
       offer.upstreams = ItemsFrom(value.at("upstreams"));
     }
-    if (value.contains("age_us")) {
-      offer.age = std::max(Duration(value.at("age_us")), Duration(0));
-    }
     return offer;
   });
 }
--- a/src/node/peer_messages.h
+++ b/src/node/peer_messages.h
@@ -103,8 +103,6 @@
   Delegation delegation;
   // The upstreams of the domain as listed in the store.
   MirroredItems upstreams;
-  // Time since the state that `upstreams` reflects; absent if not known.
-  std::optional<Duration> age;
 
   friend bool operator==(const DelegationOffer&,
                          const DelegationOffer&) = default;
--- a/src/node/prefix_mirror.cc
+++ b/src/node/prefix_mirror.cc
@@ -300,7 +300,6 @@
 
 void PrefixMirror::OnStoreResponse() {
   retry_delay_ = options_.initial_retry_delay;
-  last_answered_ = call_sent_;
   if (!is_connected_) {
     is_connected_ = true;
     LogEvent(LogLevel::kInfo, "store_regained", {{"prefix", prefix_}});
--- a/src/node/prefix_mirror.h
+++ b/src/node/prefix_mirror.h
@@ -99,8 +99,6 @@
   // The items include all changes that the store made before this time.
   TimePoint current_as_of() const { return current_as_of_; }
   bool is_connected() const { return is_connected_; }
-  // When the last request was sent that the store has answered.
-  TimePoint last_answered() const { return last_answered_; }
 
  private:
   void ReadOrWatch();
@@ -129,7 +127,6 @@
   TimePoint current_as_of_;
   TimePoint call_sent_;
   bool is_connected_ = false;
-  TimePoint last_answered_;
   bool needs_full_read_ = true;
   bool is_active_;
   // Number of the current call; responses to earlier calls are ignored.
--- a/src/node/store_view.cc
+++ b/src/node/store_view.cc
@@ -1,6 +1,5 @@
 #include "node/store_view.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "daemon/log.h"
@@ -66,14 +65,6 @@
          (!upstream_mirror_.is_active() || upstream_mirror_.is_connected());
 }
 
-TimePoint StoreView::last_answered() const {
-  TimePoint last;
-  for (const Part part : kParts) {
-    last = std::max(last, MirrorOf(part).last_answered());
-  }
-  return last;
-}
-
 std::string StoreView::LeaderKey(const std::string& failure_domain) {
   return std::string(kLeaderPrefix) + failure_domain;
 }
--- a/src/node/store_view.h
+++ b/src/node/store_view.h
@@ -63,8 +63,6 @@
       upstream_mirror_.Refresh();
     }
   }
-  // When the last read of any part was sent that the store has answered.
-  TimePoint last_answered() const;
   // `upstreams()` includes all changes that the store made before this time.
   TimePoint upstreams_as_of() const { return upstream_mirror_.current_as_of(); }
 
