Do not take a late response for an outage of the store

Without a limit a leader starts tasks on the list it has. Change: the limit of starts goes by PrefixMirror::is_responsive, which lasts until two calls in a row got no response while the event loop was on time. Elections and hand-overs go by is_connected as before.

--- a/src/node/leadership_manager.cc
+++ b/src/node/leadership_manager.cc
@@ -94,7 +94,7 @@
 
 TimePoint LeadershipManager::StartLimit(const HeldDomain& held_domain) {
   const bool can_be_updated =
-      view_.is_connected(StoreView::Part::kUpstreams) ||
+      view_.is_responsive(StoreView::Part::kUpstreams) ||
       peers_.IsStoreConnectedToLeaderOtherThan(settings_.instance);
   return control::StartLimit({.upstream_notice = settings_.upstream_notice},
                              {.as_of = view_.upstreams_as_of(),
--- a/src/node/prefix_mirror.cc
+++ b/src/node/prefix_mirror.cc
@@ -14,6 +14,12 @@
 // The store limits the events of one response to about 500. One with this many
 // may be incomplete, and the mirror is then behind the store.
 constexpr std::size_t kManyEvents = 450;
+// Calls in a row without a response after which the store counts as
+// unresponsive.
+constexpr std::uint32_t kCallsUntilUnresponsive = 2;
+// Delay of the event loop beyond which an unanswered call says nothing about
+// the store.
+constexpr Duration kMaxLag = std::chrono::milliseconds(100);
 
 // Returns the smallest key that is greater than all keys with `prefix`.
 std::string EndOfPrefix(std::string prefix) {
@@ -53,6 +59,7 @@
     return;
   }
   needs_full_read_ = true;
+  is_responsive_ = false;
   if (!is_call_in_flight_) {
     Read();
   }
@@ -300,6 +307,8 @@
 
 void PrefixMirror::OnStoreResponse() {
   retry_delay_ = options_.initial_retry_delay;
+  is_responsive_ = true;
+  unanswered_calls_ = 0;
   if (!is_connected_) {
     is_connected_ = true;
     LogEvent(LogLevel::kInfo, "store_regained", {{"prefix", prefix_}});
@@ -311,6 +320,10 @@
     LogEvent(LogLevel::kWarning, "store_lost",
              {{"prefix", prefix_}, {"message", error.message}});
   }
+  if (runtime_.lag() < kMaxLag &&
+      ++unanswered_calls_ >= kCallsUntilUnresponsive) {
+    is_responsive_ = false;
+  }
   timer_.After(retry_delay_);
   retry_delay_ = std::min(retry_delay_ * 2, options_.max_retry_delay);
 }
--- a/src/node/prefix_mirror.h
+++ b/src/node/prefix_mirror.h
@@ -99,6 +99,10 @@
   // The items include all changes that the store made before this time.
   TimePoint current_as_of() const { return current_as_of_; }
   bool is_connected() const { return is_connected_; }
+  // Like `is_connected`, but stays true until several calls in a row have got
+  // no response while this process was on time. A single late response, or
+  // those of a process that is behind, are no sign of an outage.
+  bool is_responsive() const { return is_responsive_; }
 
  private:
   void ReadOrWatch();
@@ -127,6 +131,9 @@
   TimePoint current_as_of_;
   TimePoint call_sent_;
   bool is_connected_ = false;
+  bool is_responsive_ = false;
+  // Calls without a response in a row.
+  std::uint32_t unanswered_calls_ = 0;
   bool needs_full_read_ = true;
   bool is_active_;
   // Number of the current call; responses to earlier calls are ignored.
--- a/src/node/store_view.h
+++ b/src/node/store_view.h
@@ -91,6 +91,7 @@
   bool is_connected() const;
 
   bool is_connected(Part part) const { return MirrorOf(part).is_connected(); }
+  bool is_responsive(Part part) const { return MirrorOf(part).is_responsive(); }
   std::int64_t revision(Part part) const { return MirrorOf(part).revision(); }
 
   StoreStatus status() const {
--- a/tests/store_snapshot_test.cc
+++ b/tests/store_snapshot_test.cc
@@ -9,6 +9,7 @@
 // clang-format on
 
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -205,6 +206,43 @@
   cr_assert_eq(mirror.items().size(), 501);
 }
 
+// Guards against a leader that takes one late response for an outage of the
+// store and goes on with its list, and one that is late itself in a burst.
+Test(store_snapshot, late_responses_are_no_outage) {
+  EventLoop loop;
+  node::Runtime runtime(loop.base());
+  ScriptedStore store;
+  PrefixMirror mirror(runtime, store, "p/", [] {},
+                      {.watch_wait = Duration(0),
+                       .initial_retry_delay = std::chrono::milliseconds(5)});
+  mirror.Start();
+  cr_assert(mirror.is_responsive());
+  const auto fail_next_call = [&] {
+    const std::size_t calls = store.watches.size();
+    store.watches.back()(StoreError{.message = "timed out"});
+    cr_assert(loop.RunUntil([&] { return store.watches.size() > calls; }));
+  };
+  loop.RunFor(100);
+  fail_next_call();
+  cr_assert(mirror.is_responsive() && !mirror.is_connected());
+  store.watches.back()(WatchResult{.revision = 2});
+  fail_next_call();
+  cr_assert(mirror.is_responsive(), "the calls must be in a row");
+  // The loop is blocked for longer than a tick, and then ticks late.
+  std::this_thread::sleep_for(std::chrono::milliseconds(250));
+  loop.RunFor(20);
+  cr_assert_geq(runtime.lag().count(), 100'000);
+  fail_next_call();
+  fail_next_call();
+  cr_assert(mirror.is_responsive(), "this process is late itself");
+  for (int call = 0; call < 2; ++call) {
+    cr_assert(loop.RunUntil(
+        [&] { return runtime.lag() < std::chrono::milliseconds(50); }));
+    fail_next_call();
+  }
+  cr_assert(!mirror.is_responsive());
+}
+
 // A store whose reads the test answers.
 class PendingReadsStore : public SilentStore {
  public:
