--- a/tests/store_snapshot_test.cc
+++ b/tests/store_snapshot_test.cc
@@ -309,6 +309,23 @@
                     rig.node(leader).snapshot_exchange().requests()));
 }
 
+// Submits `jobs` jobs to `node`, one each 100 ms. Returns true if the upstream
+// gets a run meanwhile.
+bool IsUsed(PlatformRig& rig,
+            const standin::PlatformUpstream& upstream,
+            std::size_t node,
+            int jobs) {
+  bool was_used = false;
+  for (int job = 0; job < jobs; ++job) {
+    rig.Submit(node, Id(job), 3, "100");
+    for (int step = 0; step < 10; ++step) {
+      rig.loop.RunFor(10);
+      was_used = was_used || upstream.running() > 0;
+    }
+  }
+  return was_used;
+}
+
 // Guards against a new leader that starts runs on an upstream whose notice has
 // ended, because nodes without a domain read the list rarely: DRAIN in
 // scenarios bara-jp trouble-2 (seed 393428112911) and bfp-pasbank-large
@@ -325,14 +342,7 @@
   rig.loop.RunFor(2500);
   rig.store.DelayRanges(std::chrono::milliseconds(600));
   rig.KillNode(first);
-  bool was_used = false;
-  for (int job = 0; job < 20; ++job) {
-    rig.Submit(second, Id(job), 3, "100");
-    for (int step = 0; step < 10; ++step) {
-      rig.loop.RunFor(10);
-      was_used = was_used || rig.upstreams[0]->running() > 0;
-    }
-  }
+  const bool was_used = IsUsed(rig, *rig.upstreams[0], second, 20);
   cr_assert(!was_used, "the upstream had announced its shutdown 2.5 s before");
   rig.store.DelayRanges(Duration(0));
   cr_assert(rig.WaitUntilReady(2));
@@ -366,14 +376,7 @@
   rig.loop.RunFor(2500);
   rig.store.DelayRanges(std::chrono::seconds(2));
   rig.KillNode(leader);
-  bool was_used = false;
-  for (int job = 0; job < 25; ++job) {
-    rig.Submit(former, Id(job), 3, "100");
-    for (int step = 0; step < 10; ++step) {
-      rig.loop.RunFor(10);
-      was_used = was_used || rig.upstreams[0]->running() > 0;
-    }
-  }
+  const bool was_used = IsUsed(rig, *rig.upstreams[0], former, 25);
   cr_assert(!was_used, "the upstream had announced its shutdown 2.5 s before");
   rig.store.DelayRanges(Duration(0));
   cr_assert(rig.WaitUntilReady(2));
@@ -429,14 +432,7 @@
   rig.loop.RunFor(300);
   rig.upstreams[0]->Register("draining");
   rig.loop.RunFor(1700);
-  bool was_used = false;
-  for (int job = 0; job < 20; ++job) {
-    rig.Submit(cut, Id(job), 3, "100");
-    for (int step = 0; step < 10; ++step) {
-      rig.loop.RunFor(10);
-      was_used = was_used || rig.upstreams[0]->running() > 0;
-    }
-  }
+  const bool was_used = IsUsed(rig, *rig.upstreams[0], cut, 20);
   cr_assert(!was_used);
   cr_assert(rig.WaitForResponses());
   cr_assert_eq(rig.StatusOf(Id(0)), 200, "%s", rig.BodyOf(Id(0)).c_str());
