Log each submission and each order to an upstream at the level debug

Change: the events job_received, job_forwarded, job_redirected, job_submitted, start_sent, stop_sent, start_answered and stop_answered; lines of the level debug are not limited to 20 a second. No logic changes.

--- a/src/daemon/log.cc
+++ b/src/daemon/log.cc
@@ -71,6 +71,15 @@
   return sink;
 }
 
+LogLimiter::Decision Admit(std::string_view event) {
+  LogState& state = State();
+  auto it = state.limiters.find(event);
+  if (it == state.limiters.end()) {
+    it = state.limiters.emplace(event, LogLimiter()).first;
+  }
+  return it->second.Admit(state.clock.Now());
+}
+
 // Replaces easylogging++'s own output, which blocks.
 class LogSinkDispatch : public el::LogDispatchCallback {
  protected:
@@ -107,18 +116,18 @@
   el::Helpers::installLogDispatchCallback<LogSinkDispatch>("jaypick");
 }
 
+bool IsLogged(LogLevel level) {
+  return level >= State().min_level;
+}
+
 void LogEvent(LogLevel level,
               std::string_view event,
               std::initializer_list<LogField> fields) {
-  LogState& state = State();
-  if (level < state.min_level) {
+  if (!IsLogged(level)) {
     return;
   }
-  auto it = state.limiters.find(event);
-  if (it == state.limiters.end()) {
-    it = state.limiters.emplace(event, LogLimiter()).first;
-  }
-  const auto decision = it->second.Admit(state.clock.Now());
+  const LogLimiter::Decision decision =
+      level == LogLevel::kDebug ? LogLimiter::Decision{} : Admit(event);
   if (!decision.is_admitted) {
     return;
   }
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -25,11 +25,14 @@
 // called, only errors are written.
 void InitializeLog(LogLevel min_level);
 
+// Returns true if lines of `level` are written.
+bool IsLogged(LogLevel level);
+
 // Writes {"time_unix_ms", "level", "event", fields...} as one line.
 //
-// `event` is a stable name that alerts may rely on. Each event is limited to
-// `kLinesPerSecond`. The first line after suppressed ones has the field
-// "suppressed" with their number.
+// `event` is a stable name that alerts may rely on. Each event above the level
+// "debug" is limited to `kLinesPerSecond`. The first line after suppressed ones
+// has the field "suppressed" with their number.
 void LogEvent(LogLevel level,
               std::string_view event,
               std::initializer_list<LogField> fields);
--- a/src/node/caller_server.cc
+++ b/src/node/caller_server.cc
@@ -131,6 +131,11 @@
   }
   const std::string id = submission.spec.id;
   const auto known = jobs_.find(id);
+  LogEvent(LogLevel::kDebug, "job_received",
+           {{"id", id},
+            {"known", known == jobs_.end() ? "no" : "yes"},
+            {"timeout_ms", std::to_string(ToMilliseconds(submission.timeout))},
+            {"lag_ms", std::to_string(ToMilliseconds(runtime_.lag()))}});
   if (known != jobs_.end()) {
     AddWaiter(known->second, id, std::move(responder));
     return;
@@ -286,6 +291,10 @@
     return false;
   }
   const TimePoint now = runtime_.Now();
+  LogEvent(LogLevel::kDebug, "job_forwarded",
+           {{"id", id},
+            {"domain", job.failure_domain},
+            {"instance", leader.instance}});
   const ForwardedJob message{.spec = job.spec,
                              .failure_domain = job.failure_domain,
                              .instance = settings_.instance,
@@ -356,6 +365,10 @@
     Respond(id, outcome, trace);
     return;
   }
+  LogEvent(LogLevel::kDebug, "job_redirected",
+           {{"id", id},
+            {"from", job.failure_domain},
+            {"reason", std::string(schedule::ToString(refused->reason))}});
   Dispatch(id);
 }
 
--- a/src/node/domain_leader.cc
+++ b/src/node/domain_leader.cc
@@ -9,6 +9,7 @@
 namespace {
 
 using control::SessionOutputs;
+using control::UpstreamSession;
 using daemon::LogEvent;
 using daemon::LogLevel;
 
@@ -127,6 +128,11 @@
                                    JobCallback callback) {
   const TimePoint now = runtime_.Now();
   const std::uint64_t number = ++last_waiter_;
+  LogEvent(LogLevel::kDebug, "job_submitted",
+           {{"id", spec.id},
+            {"domain", options_.failure_domain},
+            {"known", scheduler_.HasJob(spec.id) ? "yes" : "no"},
+            {"waiters", std::to_string(waiters_[spec.id].size())}});
   waiters_[spec.id].push_back(
       {.number = number, .callback = std::move(callback)});
   schedule::Actions actions;
@@ -250,6 +256,26 @@
   }
 }
 
+RunResponseCallback DomainLeader::LoggedRunResponse(
+    std::string_view event,
+    TimePoint sent,
+    std::uint32_t upstream,
+    const schedule::RunId& run,
+    RunResponseCallback callback) {
+  if (!daemon::IsLogged(LogLevel::kDebug)) {
+    return callback;
+  }
+  return [this, event, sent, upstream, run, callback = std::move(callback),
+          alive = is_alive_](const auto& response) {
+    if (*alive) {
+      const TimePoint now = runtime_.Now();
+      LogRunResponse(event, run, response, now - sent,
+                     RequestContext(now, upstream));
+    }
+    callback(response);
+  };
+}
+
 void DomainLeader::Handle(TimePoint now, schedule::StartTask& action) {
   const auto it = sessions_.find(action.upstream);
   SessionOutputs outputs;
@@ -306,22 +332,36 @@
   };
 }
 
-void DomainLeader::Handle(TimePoint /*now*/,
+RunRequestContext DomainLeader::RequestContext(TimePoint now,
+                                               std::uint32_t upstream) const {
+  const TimePoint limit = scheduler_.start_limit();
+  return {.failure_domain = options_.failure_domain,
+          .upstream = scheduler_.fleet().upstream(upstream).id,
+          .list_time_left =
+              limit == TimePoint::max() ? Duration::max() : limit - now,
+          .lag = runtime_.lag()};
+}
+
+void DomainLeader::Handle(TimePoint now,
                           std::uint32_t upstream,
                           control::StartRequest& output) {
+  LogStartSent(output, RequestContext(now, upstream));
   upstream_client_.Start(
       scheduler_.fleet().upstream(upstream), output,
-      ResponseHandler(upstream, output.request_number,
-                      &control::UpstreamSession::OnStartResponse));
+      LoggedRunResponse("start_answered", now, upstream, output.run,
+                        ResponseHandler(upstream, output.request_number,
+                                        &UpstreamSession::OnStartResponse)));
 }
 
-void DomainLeader::Handle(TimePoint /*now*/,
+void DomainLeader::Handle(TimePoint now,
                           std::uint32_t upstream,
                           control::StopRequest& output) {
+  LogStopSent(output, RequestContext(now, upstream));
   upstream_client_.Stop(
       scheduler_.fleet().upstream(upstream), output,
-      ResponseHandler(upstream, output.request_number,
-                      &control::UpstreamSession::OnStopResponse));
+      LoggedRunResponse("stop_answered", now, upstream, output.run,
+                        ResponseHandler(upstream, output.request_number,
+                                        &UpstreamSession::OnStopResponse)));
 }
 
 void DomainLeader::Handle(TimePoint /*now*/,
@@ -340,9 +380,7 @@
       schedule::IsUpstreamLoss(output.end)) {
     LogEvent(LogLevel::kWarning, "run_lost",
              {{"id", output.run.job},
-              {"task", std::to_string(output.run.step) + "." +
-                           std::to_string(output.run.index) + "#" +
-                           std::to_string(output.run.run)},
+              {"task", RunName(output.run)},
               {"upstream", scheduler_.fleet().upstream(upstream).id},
               {"domain", options_.failure_domain},
               {"cause", std::string(output.cause)},
--- a/src/node/domain_leader.h
+++ b/src/node/domain_leader.h
@@ -9,9 +9,11 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "control/upstream_session.h"
+#include "node/run_request_log.h"
 #include "node/runtime.h"
 #include "node/upstream_client.h"
 #include "schedule/fleet.h"
@@ -133,6 +135,13 @@
                                                 control::RequestNumber,
                                                 const Response&,
                                                 control::SessionOutputs&));
+  // Returns `callback` with a log line of the response before it.
+  RunResponseCallback LoggedRunResponse(std::string_view event,
+                                        TimePoint sent,
+                                        std::uint32_t upstream,
+                                        const schedule::RunId& run,
+                                        RunResponseCallback callback);
+  RunRequestContext RequestContext(TimePoint now, std::uint32_t upstream) const;
   void ReleaseUpstream(std::uint32_t upstream);
   void ReleaseIdleUpstreams();
   void ArmTimer(TimePoint now);
