Hold a resubmission back until the job's earlier runs have ended

Cause: while runs of an abandoned job were being stopped, the scheduler refused the job's next submission as runs_lost. An entry takes a refusal as proof that the domain runs nothing of the job, and submits it to another domain, which starts it beside the runs that are still stopping. Change: the scheduler keeps the resubmission and admits it after the job's last run has ended; at its deadline it is answered as failed, since the earlier runs may have had an effect. Its runs continue the numbers of the earlier ones, which upstreams would refuse. Why it works: one scheduler decides on both submissions, and no refusal leaves it while a run of the job may be active.

--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -79,6 +79,8 @@
   for (const auto& [id, job] : jobs_) {
     if (!job->has_ended) {
       next = std::min(next, job->deadline);
+    } else if (job->resubmission != nullptr) {
+      next = std::min(next, job->resubmission->deadline);
     }
   }
   return next;
@@ -89,6 +91,9 @@
   for (const auto& [id, job] : jobs_) {
     if (!job->has_ended && now >= job->deadline) {
       due.push_back(job);
+    } else if (job->resubmission != nullptr &&
+               now >= job->resubmission->deadline) {
+      EndResubmission(now, *job, RefusalReason::kDeadline, actions);
     }
   }
   for (const JobPointer& job : due) {
@@ -329,7 +334,7 @@
   }
   if (job.has_ended) {
     if (job.running == 0) {
-      jobs_.erase(job.spec.id);
+      Remove(now, job, actions);
     }
     return;
   }
@@ -373,10 +378,14 @@
                         const std::string& id,
                         Actions& actions) {
   const auto it = jobs_.find(id);
-  if (it == jobs_.end() || it->second->has_ended) {
+  if (it == jobs_.end()) {
     return;
   }
   const JobPointer job = it->second;
+  if (job->has_ended) {
+    job->resubmission.reset();
+    return;
+  }
   Fail(now, *job, RefusalReason::kAbandoned, actions);
 }
 
@@ -400,6 +409,8 @@
   for (const JobPointer& job : all) {
     if (!job->has_ended) {
       Fail(now, *job, reason, actions);
+    } else if (job->resubmission != nullptr) {
+      EndResubmission(now, *job, reason, actions);
     }
   }
   for (const auto& [id, run] : std::exchange(running_, {})) {
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -85,8 +85,8 @@
   const Fleet& fleet() const { return fleet_; }
 
   // Admits a job that arrived at `arrival`, or refuses it with `JobEnded`. Does
-  // nothing if the job with this id is in progress, and refuses a job with the
-  // id of one that has ended but whose runs are still being stopped.
+  // nothing if the job with this id is in progress. If the job has ended but
+  // its runs are still being stopped, it is admitted again after the last one.
   void Submit(TimePoint now,
               JobSpec spec,
               TimePoint arrival,
@@ -161,6 +161,17 @@
 
   // Admission and load shedding (scheduler_admission.cc).
   JobPointer MakeJob(JobSpec spec, TimePoint arrival, TimePoint deadline) const;
+  void Admit(TimePoint now, Job& job, Actions& actions);
+  // Keeps `next` until the last run of `earlier` has ended.
+  void Defer(TimePoint now, Job& earlier, JobPointer next, Actions& actions);
+  // Removes a job that has ended with its last run, and admits its
+  // resubmission.
+  void Remove(TimePoint now, Job& job, Actions& actions);
+  // Ends a resubmission that has not been admitted.
+  void EndResubmission(TimePoint now,
+                       Job& earlier,
+                       RefusalReason reason,
+                       Actions& actions);
   std::optional<RefusalReason> CheckOffered(TimePoint now,
                                             const Job& job) const;
   bool IsTooLong(TimePoint now, const Job& job) const;
--- a/src/schedule/scheduler_admission.cc
+++ b/src/schedule/scheduler_admission.cc
@@ -49,6 +49,21 @@
   return *std::ranges::max_element(chains);
 }
 
+// Upstreams refuse runs with a number that they have seen, and a job whose runs
+// may have had an effect is not answered as one that has not run.
+void ContinueRunNumbers(const Job& earlier, Job& next) {
+  next.starts = earlier.starts;
+  const std::size_t steps = std::min(earlier.steps.size(), next.steps.size());
+  for (std::size_t step = 0; step < steps; ++step) {
+    const auto& from = earlier.steps[step].tasks;
+    auto& to = next.steps[step].tasks;
+    for (std::size_t index = 0; index < std::min(from.size(), to.size());
+         ++index) {
+      to[index].runs = from[index].runs;
+    }
+  }
+}
+
 }  // namespace
 
 void Scheduler::Submit(TimePoint now,
@@ -58,43 +73,79 @@
                        Actions& actions) {
   const auto existing = jobs_.find(spec.id);
   if (existing != jobs_.end()) {
-    if (existing->second->has_ended) {
-      // Runs of the earlier submission are being stopped.
-      actions.push_back(
-          JobEnded{.job = spec.id,
-                   .outcome = Refused{.reason = RefusalReason::kRunsLost,
-                                      .retry_after = kShortestRetry},
-                   .trace = {},
-                   .response_time = now - arrival});
+    Job& earlier = *existing->second;
+    if (earlier.has_ended && earlier.resubmission == nullptr) {
+      Defer(now, earlier, MakeJob(std::move(spec), arrival, deadline), actions);
     }
     return;
   }
   const JobPointer job = MakeJob(std::move(spec), arrival, deadline);
   jobs_[job->spec.id] = job;
-  served_fractions_.OnOffered(job->job_class, job->work, now);
-  if (MarkSuspects(*job)) {
-    Trace(now, *job, "given_up", "upstreams crashed in earlier submissions");
-    EndJob(now, *job, Failed{.reason = RefusalReason::kTaskFailed}, actions);
+  Admit(now, *job, actions);
+}
+
+void Scheduler::Defer(TimePoint now,
+                      Job& earlier,
+                      JobPointer next,
+                      Actions& actions) {
+  Trace(now, *next, "deferred",
+        "runs_to_stop=" + std::to_string(earlier.running));
+  earlier.resubmission = std::move(next);
+  if (IsTooLong(now, *earlier.resubmission)) {
+    EndResubmission(now, earlier, RefusalReason::kTooLong, actions);
+  }
+}
+
+// The runs of the earlier submission may have had an effect, so the job is not
+// answered as one that has not run.
+void Scheduler::EndResubmission(TimePoint now,
+                                Job& earlier,
+                                RefusalReason reason,
+                                Actions& actions) {
+  const JobPointer job = std::exchange(earlier.resubmission, nullptr);
+  actions.push_back(JobEnded{.job = job->spec.id,
+                             .outcome = Failed{.reason = reason},
+                             .trace = std::move(job->trace),
+                             .response_time = now - job->arrival});
+}
+
+void Scheduler::Remove(TimePoint now, Job& job, Actions& actions) {
+  const JobPointer earlier(&job);
+  jobs_.erase(earlier->spec.id);
+  if (earlier->resubmission == nullptr) {
+    return;
+  }
+  const JobPointer next = std::exchange(earlier->resubmission, nullptr);
+  ContinueRunNumbers(*earlier, *next);
+  jobs_[next->spec.id] = next;
+  Admit(now, *next, actions);
+}
+
+void Scheduler::Admit(TimePoint now, Job& job, Actions& actions) {
+  served_fractions_.OnOffered(job.job_class, job.work, now);
+  if (MarkSuspects(job)) {
+    Trace(now, job, "given_up", "upstreams crashed in earlier submissions");
+    EndJob(now, job, Failed{.reason = RefusalReason::kTaskFailed}, actions);
     return;
   }
-  if (const auto reason = CheckOffered(now, *job)) {
-    Refuse(now, *job, *reason, actions);
+  if (const auto reason = CheckOffered(now, job)) {
+    Refuse(now, job, *reason, actions);
     return;
   }
-  if (IsTooLong(now, *job)) {
-    Refuse(now, *job, RefusalReason::kTooLong, actions);
+  if (IsTooLong(now, job)) {
+    Refuse(now, job, RefusalReason::kTooLong, actions);
     return;
   }
-  const double milli_cpus = job->spec.steps.front().needs.milli_cpus;
+  const double milli_cpus = job.spec.steps.front().needs.milli_cpus;
   typical_milli_cpus_ +=
       typical_milli_cpus_ == 0
           ? milli_cpus
           : kTypicalWeight * (milli_cpus - typical_milli_cpus_);
-  typical_memory_mb_ = job->spec.steps.front().needs.memory_mb;
-  Trace(now, *job, "admit",
-        "predicted_ms=" + std::to_string(ToMilliseconds(job->predicted)) +
+  typical_memory_mb_ = job.spec.steps.front().needs.memory_mb;
+  Trace(now, job, "admit",
+        "predicted_ms=" + std::to_string(ToMilliseconds(job.predicted)) +
             " queued=" + std::to_string(waiting_));
-  Unblock(*job);
+  Unblock(job);
   StartWaitingTasks(now, actions);
   is_shed_due_ = true;
   if (now >= next_shed_) {
@@ -297,9 +348,7 @@
             " left_ms=" + std::to_string(ToMilliseconds(job.deadline - now)) +
             " queued=" + std::to_string(waiting_) + " served_part=" +
             std::to_string(served_fractions_.ServedFraction(job.job_class)));
-  EndJob(now, job,
-         Refused{.reason = reason, .retry_after = RetryAfter(now, job)},
-         actions);
+  Fail(now, job, reason, actions);
 }
 
 // Returns the time after which the work that is waiting now is expected to have
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -306,6 +306,35 @@
   cr_assert(rig.run_monitor.violations.empty());
 }
 
+// Guards against a job that is submitted again while its first runs are being
+// stopped, is refused for that reason, and then starts in another domain beside
+// them (TWICE).
+Test(node, resubmission_does_not_start_in_another_domain_beside_its_runs) {
+  PlatformRig rig;
+  rig.AddUpstream("a1", "antwerp");
+  const std::size_t node = rig.AddNode("ghent");
+  rig.AddNode("antwerp");
+  cr_assert(rig.WaitUntilReady());
+  cr_assert(rig.loop.RunUntil([&] { return rig.LeaderOf("antwerp") == 1; }));
+  rig.loop.RunFor(1000);
+  rig.Submit(node, Id(1), 2, "300");
+  cr_assert(rig.loop.RunUntil([&] { return rig.run_monitor.started == 2; }));
+  for (const auto& upstream : rig.upstreams) {
+    upstream->DelayRunRequests(
+        upstream->id() == "a1" ? Duration(0) : std::chrono::milliseconds(150));
+  }
+  rig.Disconnect(Id(1));
+  rig.loop.RunFor(20);
+  rig.Submit(node, Id(1), 2, "300");
+  rig.loop.RunFor(300);
+  for (const auto& upstream : rig.upstreams) {
+    upstream->DelayRunRequests(Duration(0));
+  }
+  cr_assert(rig.WaitForResponses());
+  cr_assert_eq(rig.StatusOf(Id(1)), 200, "%s", rig.BodyOf(Id(1)).c_str());
+  AssertNoViolation(rig);
+}
+
 // Guards against nodes that take over the domain of a leader right after a cut
 // has healed, which ends all its runs: to them, the refused connections during
 // the cut look like those to a process that has ended. In scenario
--- a/tests/platform_rig.h
+++ b/tests/platform_rig.h
@@ -2,6 +2,7 @@
 #ifndef JAYPICK_TESTS_PLATFORM_RIG_H_
 #define JAYPICK_TESTS_PLATFORM_RIG_H_
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
@@ -56,6 +57,8 @@
               const std::string& script,
               const std::string& prefix = "/fit/",
               int timeout_ms = 3000);
+  // Closes the connection of a job's last request, which is still pending.
+  void Disconnect(const std::string& id);
   // The status of the response to a job's last request; 0 while it is pending,
   // -1 if its connection broke.
   int StatusOf(const std::string& id) const;
@@ -88,6 +91,7 @@
     std::unique_ptr<node::Node> node;
   };
   struct JobResponse {
+    std::uint64_t request = 0;
     int status = 0;
     std::string body;
   };
