End leases on a slow upstream clock by their bound

After a silence of the upstream, the lease of a start that was carried out late ended after the session had declared it over and the task had been started elsewhere. Cause: a lease expiry on the upstream's clock is the last reading of that clock plus the leader's elapsed time. The clock may be 2 % slow, so the estimate runs ahead of it with the age of the reading, while the lease bound counts from the time of sending. Evidence: upstream_session/leases_end_by_their_bound_after_silence, before: 'rate 0.9800, idle for 30 s: the lease ends after 1632 ms, and its bound is 1030 ms' (9 s: 1204 ms). Change: the estimate leaves out the possible drift since the reading, and the bound divides by the slowest rate instead of multiplying by the error. A lease thereby loses 20 ms for each second of silence. If that were more than 200 ms (`longest_drift`, 10 s of silence), a start waits for one poll that reads the clock; runs that wait so end as not started if the poll gets no answer, as nothing was sent. Why it works: the clock advances by at least 98 % of the elapsed time, so the estimate is never ahead of it, and the lease then takes at most its length / 0.98. Idle upstreams are still not polled; a burst after a silence costs one poll per upstream that it uses. Tests: leases_end_by_their_bound_after_silence, clock_is_read_before_a_start_after_long_ silence, start_that_was_not_sent_ends_when_the_clock_is_unread, start_that_was_not_sent_ does_not_crash_the_upstream, stop_of_a_start_that_was_not_sent_ends_it_at_once (all five failed before), and leases_end_by_their_bound_in_steady_work (passed before: renewal with an exact clock and one 2 % slow). Measured: upstream_session_test, scheduler_test and crash_history_test, 48 tests, pass.

--- a/src/control/upstream_session.cc
+++ b/src/control/upstream_session.cc
@@ -42,17 +42,23 @@
   SendPoll(now, Duration(0), false, true, outputs);
 }
 
+Duration UpstreamSession::Drift(TimePoint now) const {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>((now - clock_read_).count()) * options_.clock_error));
+}
+
 // The estimate of the upstream's clock is never ahead of that clock, which was
-// read before the response arrived. So the lease ends no later than intended.
-std::int64_t UpstreamSession::LeaseExpiry(TimePoint now) {
-  return *clock_ms_ + ToMilliseconds(now - clock_read_) +
+// read before the response arrived and has been slow by `Drift` at most. So the
+// lease ends no later than intended.
+std::int64_t UpstreamSession::LeaseExpiry(TimePoint now) const {
+  return *clock_ms_ + ToMilliseconds(now - clock_read_ - Drift(now)) +
          ToMilliseconds(options_.longest_lease);
 }
 
 void UpstreamSession::ExtendLeaseBound(TimePoint now) {
   const auto longest = static_cast<Duration::rep>(
-      static_cast<double>(options_.longest_lease.count()) *
-      (1 + options_.clock_error));
+      static_cast<double>(options_.longest_lease.count()) /
+      (1 - options_.clock_error));
   lease_bound_ =
       std::max(lease_bound_, now + Duration(longest) + options_.lease_margin);
 }
@@ -83,13 +89,27 @@
                             const RunId& run,
                             std::string payload,
                             SessionOutputs& outputs) {
+  runs_[run] = Run{};
+  if (Drift(now) <= options_.longest_drift) {
+    SendStart(now, run, std::move(payload), outputs);
+    return;
+  }
+  unsent_[run] = std::move(payload);
+  if (!poll_) {
+    SendPoll(now, Duration(0), false, false, outputs);
+  }
+}
+
+void UpstreamSession::SendStart(TimePoint now,
+                                const RunId& run,
+                                std::string payload,
+                                SessionOutputs& outputs) {
   const StartRequest start{.request_number = ++last_request_number_,
                            .run = run,
                            .payload = std::move(payload),
                            .token = token_,
                            .lease_expiry_ms = LeaseExpiry(now)};
   ExtendLeaseBound(now);
-  runs_[run] = Run{};
   starts_[start.request_number] = {.run = run, .token = token_};
   outputs.push_back(start);
 }
@@ -101,6 +121,10 @@
   if (it == runs_.end() || it->second.is_stopping) {
     return;
   }
+  if (unsent_.contains(run)) {
+    EndRun(run, RunOutcome::kNotStarted, "not_sent", outputs);
+    return;
+  }
   it->second.is_stopping = true;
   // If the session is not ready, `Reconcile` stops the run once the upstream
   // responds.
@@ -361,6 +385,12 @@
   if (state_ != State::kReady || poll_) {
     return;
   }
+  if (!unsent_.empty()) {
+    for (auto& [run, payload] : std::exchange(unsent_, {})) {
+      SendStart(now, run, std::move(payload), outputs);
+    }
+    return;
+  }
   if (runs_.empty()) {
     idle_since_ = now;
     return;
@@ -396,20 +426,31 @@
   if (was_ready != is_ready()) {
     outputs.push_back(ReadinessChanged{.is_ready = is_ready(), .cause = cause});
   }
+  if (!is_ready()) {
+    EndUnsentRuns(outputs);
+  }
 }
 
 void UpstreamSession::EndRun(const RunId& run,
                              RunOutcome outcome,
                              std::string_view cause,
                              SessionOutputs& outputs) {
+  unsent_.erase(run);
   if (runs_.erase(run) > 0) {
     outputs.push_back(RunEnded{.run = run, .end = outcome, .cause = cause});
   }
 }
 
+void UpstreamSession::EndUnsentRuns(SessionOutputs& outputs) {
+  for (const auto& [run, payload] : std::exchange(unsent_, {})) {
+    EndRun(run, RunOutcome::kNotStarted, "not_sent", outputs);
+  }
+}
+
 void UpstreamSession::EndAllRuns(RunOutcome outcome,
                                  std::string_view cause,
                                  SessionOutputs& outputs) {
+  EndUnsentRuns(outputs);
   starts_.clear();
   stops_.clear();
   poll_.reset();
--- a/src/control/upstream_session.h
+++ b/src/control/upstream_session.h
@@ -144,6 +144,10 @@
   double clock_error = 0.02;
   // Margin over the lease for rounding to whole milliseconds.
   Duration lease_margin = std::chrono::milliseconds(10);
+  // Leases are shorter by the possible drift of the upstream's clock since it
+  // was last read. Beyond this drift, the clock is read before a run is
+  // started, so that leases outlast a poll that gets lost.
+  Duration longest_drift = std::chrono::milliseconds(200);
   // Longest wait of a poll, short enough that leases are renewed well before
   // they expire.
   Duration poll_wait = std::chrono::milliseconds(450);
@@ -181,7 +185,9 @@
                            std::int64_t started_unix_ms,
                            SessionOutputs& outputs);
 
-  // Starts a run. The session must be ready.
+  // Starts a run. The session must be ready. If the upstream has been silent
+  // for long, its clock is read first; if that fails, the run ends as not
+  // started.
   void Start(TimePoint now,
              const RunId& run,
              std::string payload,
@@ -253,8 +259,14 @@
     std::uint64_t token = 0;
   };
 
-  std::int64_t LeaseExpiry(TimePoint now);
+  // Largest possible drift of the upstream's clock since its last reading.
+  Duration Drift(TimePoint now) const;
+  std::int64_t LeaseExpiry(TimePoint now) const;
   void ExtendLeaseBound(TimePoint now);
+  void SendStart(TimePoint now,
+                 const RunId& run,
+                 std::string payload,
+                 SessionOutputs& outputs);
   void SendPoll(TimePoint now,
                 Duration wait,
                 bool extends_lease,
@@ -286,6 +298,7 @@
               RunOutcome outcome,
               std::string_view cause,
               SessionOutputs& outputs);
+  void EndUnsentRuns(SessionOutputs& outputs);
   void EndAllRuns(RunOutcome outcome,
                   std::string_view cause,
                   SessionOutputs& outputs);
@@ -300,6 +313,8 @@
   std::uint64_t token_;
   State state_ = State::kTakingOver;
   std::map<RunId, Run> runs_;
+  // Payloads of runs that wait for a reading of the upstream's clock.
+  std::map<RunId, std::string> unsent_;
   std::map<RequestNumber, PendingRunRequest> starts_;
   std::map<RequestNumber, PendingRunRequest> stops_;
   std::optional<PendingPoll> poll_;
--- a/tests/upstream_session_test.cc
+++ b/tests/upstream_session_test.cc
@@ -19,10 +19,12 @@
   return {.job = "5c0e7a21d94b36f8", .index = index, .run = run};
 }
 
-// Drives a session; the upstream's clock is 5 s behind the leader's.
+// Drives a session; the upstream's clock is 5 s behind the leader's at first.
 class SessionRig {
  public:
-  SessionRig() { session.Begin(now, outputs); }
+  explicit SessionRig(double clock_rate = 1) : clock_rate_(clock_rate) {
+    session.Begin(now, outputs);
+  }
 
   template <typename Output>
   std::optional<Output> Take() {
@@ -49,7 +51,16 @@
   }
 
   std::int64_t clock() const {
-    return ToMilliseconds(now.time_since_epoch()) - 5000;
+    const double elapsed = static_cast<double>((now - kBeginning).count());
+    return kFirstClock + ToMilliseconds(Duration(static_cast<Duration::rep>(
+                             elapsed * clock_rate_)));
+  }
+  // Returns when the upstream's clock shows `clock_ms`.
+  TimePoint TimeAtClock(std::int64_t clock_ms) const {
+    const Duration elapsed = milliseconds(clock_ms - kFirstClock);
+    return kBeginning +
+           Duration(static_cast<Duration::rep>(
+               static_cast<double>(elapsed.count()) / clock_rate_));
   }
   UpstreamTimestamps stamp() const {
     return {.clock_ms = clock(), .started_unix_ms = incarnation};
@@ -86,10 +97,26 @@
     session.Advance(now, outputs);
   }
 
-  TimePoint now{std::chrono::seconds(1000)};
+  // Starts a run and answers the reading of the upstream's clock that may
+  // precede it.
+  StartRequest StartAfterClockReading(const RunId& run) {
+    session.Start(now, run, "p", outputs);
+    if (const auto poll = Take<PollRequest>()) {
+      Respond(*poll);
+    }
+    return *Take<StartRequest>();
+  }
+
+  static constexpr TimePoint kBeginning{std::chrono::seconds(1000)};
+  static constexpr std::int64_t kFirstClock = 995'000;
+
+  TimePoint now = kBeginning;
   std::int64_t incarnation = 1;
   SessionOutputs outputs;
   UpstreamSession session{SessionOptions(), kToken};
+
+ private:
+  double clock_rate_;
 };
 
 // Guards against starts before it is known what runs at the upstream.
@@ -115,6 +142,120 @@
   cr_assert_geq(rig.session.lease_bound(), rig.now + milliseconds(1020));
 }
 
+// Guards against a lease that ends after the session has declared it over: the
+// upstream's clock is estimated from a reading that may be old.
+Test(upstream_session, leases_end_by_their_bound_after_silence) {
+  for (const double clock_rate : {0.98, 1.0, 1.0005}) {
+    for (const int idle_seconds : {1, 9, 30, 300}) {
+      SessionRig rig(clock_rate);
+      rig.BecomeReady();
+      rig.AdvanceBy(std::chrono::seconds(idle_seconds));
+      const StartRequest start = rig.StartAfterClockReading(Run(0));
+      const std::int64_t lease =
+          ToMilliseconds(rig.TimeAtClock(start.lease_expiry_ms) - rig.now);
+      const std::int64_t bound =
+          ToMilliseconds(rig.session.lease_bound() - rig.now);
+      cr_expect(lease <= bound && lease >= 790,
+                "rate %.4f, idle for %d s: the lease ends after %d ms, and its "
+                "bound is %d ms",
+                clock_rate, idle_seconds, static_cast<int>(lease),
+                static_cast<int>(bound));
+    }
+  }
+}
+
+// Guards against a start with a lease so short that it expires before it can be
+// extended, because the upstream's clock was read long ago.
+Test(upstream_session, clock_is_read_before_a_start_after_long_silence) {
+  SessionRig rig;
+  rig.BecomeReady();
+  rig.AdvanceBy(std::chrono::seconds(60));
+  cr_assert(!rig.Take<PollRequest>(), "an idle upstream is polled");
+  rig.session.Start(rig.now, Run(0), "p", rig.outputs);
+  rig.session.Start(rig.now, Run(1), "p", rig.outputs);
+  cr_assert(!rig.Take<StartRequest>());
+  const PollRequest poll = *rig.Take<PollRequest>();
+  cr_assert(poll.wait == Duration(0) && !poll.lease_expiry_ms);
+  cr_assert(!rig.Take<PollRequest>(), "one reading serves all starts");
+  rig.AdvanceBy(milliseconds(1));
+  rig.Respond(poll);
+  for (const RunId& run : {Run(0), Run(1)}) {
+    const auto start = rig.Take<StartRequest>();
+    cr_assert(start && start->run == run && start->payload == "p");
+    cr_assert_eq(start->lease_expiry_ms, rig.clock() + 1000);
+    rig.Confirm(*start);
+  }
+  cr_assert(rig.Take<PollRequest>()->lease_expiry_ms.has_value());
+}
+
+// Guards against a run that waits for an upstream that does not respond, or
+// that is taken for lost there although it was never sent.
+Test(upstream_session, start_that_was_not_sent_ends_when_the_clock_is_unread) {
+  SessionRig rig;
+  rig.BecomeReady();
+  rig.AdvanceBy(std::chrono::seconds(60));
+  rig.session.Start(rig.now, Run(0), "p", rig.outputs);
+  const PollRequest poll = *rig.Take<PollRequest>();
+  rig.AdvanceBy(milliseconds(240));
+  rig.session.OnPollResponse(rig.now, poll.request_number, NoResponse{},
+                             rig.outputs);
+  cr_assert(rig.EndOf(Run(0)) == RunOutcome::kNotStarted);
+  cr_assert(!rig.session.is_ready());
+  rig.Respond(*rig.Take<PollRequest>());
+  cr_assert(rig.session.is_ready());
+  cr_assert(!rig.Take<StartRequest>());
+}
+
+// Guards against a crash that is charged to a run that was never sent.
+Test(upstream_session, start_that_was_not_sent_does_not_crash_the_upstream) {
+  SessionRig rig;
+  rig.BecomeReady();
+  rig.AdvanceBy(std::chrono::seconds(60));
+  rig.session.Start(rig.now, Run(0), "p", rig.outputs);
+  rig.session.OnPollResponse(
+      rig.now, rig.Take<PollRequest>()->request_number,
+      PollResponse{.result = ResponseStatus::kOtherIncarnation}, rig.outputs);
+  cr_assert(rig.EndOf(Run(0)) == RunOutcome::kNotStarted);
+}
+
+// Guards against a start that is sent after it was cancelled.
+Test(upstream_session, stop_of_a_start_that_was_not_sent_ends_it_at_once) {
+  SessionRig rig;
+  rig.BecomeReady();
+  rig.AdvanceBy(std::chrono::seconds(60));
+  rig.session.Start(rig.now, Run(0), "p", rig.outputs);
+  rig.session.Stop(rig.now, Run(0), rig.outputs);
+  cr_assert(rig.EndOf(Run(0)) == RunOutcome::kNotStarted);
+  rig.Respond(*rig.Take<PollRequest>());
+  cr_assert(!rig.Take<StartRequest>() && !rig.Take<StopRequest>());
+  cr_assert(rig.session.is_ready());
+}
+
+// Guards against a bound that the end of a lease exceeds by rounding.
+Test(upstream_session, leases_end_by_their_bound_in_steady_work) {
+  for (const double clock_rate : {0.98, 1.0, 1.0005}) {
+    SessionRig rig(clock_rate);
+    rig.BecomeReady();
+    rig.Confirm(rig.Start(Run(0)));
+    PollRequest poll = *rig.Take<PollRequest>();
+    TimePoint lease_end = rig.TimeAtClock(*poll.lease_expiry_ms);
+    for (int number = 0; number < 100; ++number) {
+      rig.AdvanceBy(std::chrono::microseconds(499'337));
+      rig.Respond(poll, {Run(0)});
+      poll = *rig.Take<PollRequest>();
+      const TimePoint renewed = rig.TimeAtClock(*poll.lease_expiry_ms);
+      cr_assert_geq(ToMilliseconds(lease_end - rig.now), 480,
+                    "renewed late, rate %.4f", clock_rate);
+      cr_assert_geq(ToMilliseconds(renewed - rig.now), 990, "rate %.4f",
+                    clock_rate);
+      cr_assert_leq((renewed - rig.now).count(),
+                    (rig.session.lease_bound() - rig.now).count(), "rate %.4f",
+                    clock_rate);
+      lease_end = renewed;
+    }
+  }
+}
+
 // Guards against an end that is reported twice or acknowledged too early.
 Test(upstream_session, ends_are_reported_once_and_then_acknowledged) {
   SessionRig rig;
