Bound a run to be stopped whose stop is not carried out

A caller that lost its connection submits its job again 1.3 s later, also in another domain, where nothing is known of the first run. Cause: leases are extended for all runs of an upstream together. So a run whose stop got no answer, or an answer but no effect, went on for as long as other runs did there. A stop that was answered was never repeated. Evidence: upstream_session/run_ends_in_time_though_its_stop_is_not_carried_out, before: 'answer 0, stopped after 700 ms: still running' 1.3 s after the stop; and leases_are_not_ extended_after_an_unconfirmed_stop: 'leases may last for 1330 ms after the stop'. Change: a session knows when each stop was first requested. From 200 ms after that (`stop_confirmation_limit`) until the run has ended, no request extends leases, a recovery poll included, the upstream takes no starts, and the stop is repeated each 200 ms. The same holds for runs of earlier leaders that a ready session finds. Why it works: the last extension is sent before 200 ms have passed since the stop, and no lease lasts longer than 1 s / 0.98 and a margin of 10 ms, so the run is over 1231 ms after the stop, whatever the upstream answers. It is decided by the time at each request, not by a timer, so a delayed event loop extends nothing. Cost: the other runs at an upstream that does not stop a run for about a second lapse and are started again. If the stop takes 0.5 s, none of them ends, and starts there are held for 0.3 s (other_runs_outlast_a_slow_stop, passed before). Tests: the two above, recovery_does_not_extend_the_lease_of_a_stopped_run, start_beside_an_ unconfirmed_stop_is_not_sent, unknown_run_that_does_not_stop_gets_no_leases (all failed before).

--- a/src/control/upstream_session.cc
+++ b/src/control/upstream_session.cc
@@ -73,7 +73,7 @@
                    .acknowledged = acknowledged_,
                    .wait = wait,
                    .is_recovery = is_recovery};
-  if (extends_lease && clock_ms_) {
+  if (extends_lease && clock_ms_ && !IsStopLate(now)) {
     poll.lease_expiry_ms = LeaseExpiry(now);
     ExtendLeaseBound(now);
   }
@@ -90,6 +90,11 @@
                             std::string payload,
                             SessionOutputs& outputs) {
   runs_[run] = Run{};
+  if (IsStopLate(now)) {
+    // A start would extend the lease of the run to be stopped.
+    EndRun(run, RunOutcome::kNotStarted, "stop_unconfirmed", outputs);
+    return;
+  }
   if (Drift(now) <= options_.longest_drift) {
     SendStart(now, run, std::move(payload), outputs);
     return;
@@ -114,29 +119,56 @@
   outputs.push_back(start);
 }
 
-void UpstreamSession::Stop(TimePoint /*now*/,
+void UpstreamSession::Stop(TimePoint now,
                            const RunId& run,
                            SessionOutputs& outputs) {
-  const auto it = runs_.find(run);
-  if (it == runs_.end() || it->second.is_stopping) {
+  if (!runs_.contains(run) || stopping_.contains(run)) {
     return;
   }
   if (unsent_.contains(run)) {
     EndRun(run, RunOutcome::kNotStarted, "not_sent", outputs);
     return;
   }
-  it->second.is_stopping = true;
-  // If the session is not ready, `Reconcile` stops the run once the upstream
-  // responds.
-  if (state_ != State::kReady) {
-    return;
+  stopping_[run] = now;
+  // If the upstream does not respond, `Reconcile` stops the run once it does.
+  if (IsResponding()) {
+    SendStop(run, outputs);
   }
+}
+
+void UpstreamSession::SendStop(const RunId& run, SessionOutputs& outputs) {
   const StopRequest stop{
       .request_number = ++last_request_number_, .run = run, .token = token_};
   stops_[stop.request_number] = {.run = run, .token = token_};
   outputs.push_back(stop);
 }
 
+bool UpstreamSession::IsStopLate(TimePoint now) const {
+  return std::ranges::any_of(stopping_, [&](const auto& entry) {
+    return now >= entry.second + options_.stop_confirmation_limit;
+  });
+}
+
+void UpstreamSession::CheckStops(TimePoint now, SessionOutputs& outputs) {
+  if (!IsStopLate(now)) {
+    ChangeState(State::kReady, "stopped", outputs);
+    return;
+  }
+  if (state_ == State::kReady) {
+    ChangeState(State::kStopping, "stop_unconfirmed", outputs);
+    next_stops_ = now;
+  }
+  if (now < next_stops_) {
+    return;
+  }
+  next_stops_ = now + options_.stop_confirmation_limit;
+  for (const auto& [run, requested] : stopping_) {
+    if (now >= requested + options_.stop_confirmation_limit) {
+      SendStop(run, outputs);
+    }
+  }
+}
+
 bool UpstreamSession::AcceptResponse(TimePoint now,
                                      const UpstreamTimestamps& timestamps,
                                      ResponseStatus status,
@@ -266,10 +298,8 @@
   const PendingRunRequest request = it->second;
   stops_.erase(it);
   if (std::holds_alternative<NoResponse>(response)) {
-    if (const auto run = runs_.find(request.run); run != runs_.end()) {
-      run->second.is_stopping = false;
+    if (stopping_.contains(request.run)) {
       EnterRecovery(now, "stop_unanswered", outputs);
-      run->second.is_stopping = true;
     }
     return;
   }
@@ -292,7 +322,7 @@
   const auto* const poll_response = std::get_if<PollResponse>(&response);
   if (poll_response == nullptr) {
     was_refused_ = std::get<NoResponse>(response).is_refused;
-    if (state_ == State::kReady) {
+    if (IsResponding()) {
       EnterRecovery(now, "look_unanswered", outputs);
     } else {
       next_recovery_poll_ =
@@ -309,9 +339,7 @@
   }
   if (poll_response->result != ResponseStatus::kDone) {
     next_recovery_poll_ = now + options_.recovery_poll_interval;
-    if (state_ == State::kReady) {
-      EnterRecovery(now, ToString(poll_response->result), outputs);
-    }
+    EnterRecovery(now, ToString(poll_response->result), outputs);
     return;
   }
   Reconcile(now, poll, *poll_response, outputs);
@@ -349,18 +377,23 @@
            was_confirmed ? RunOutcome::kLeaseExpired : RunOutcome::kNotStarted,
            "not_running", outputs);
   }
-  StopRunsOfEarlierLeaders(response, outputs);
+  std::erase_if(stopping_, [&](const auto& entry) {
+    return !runs_.contains(entry.first) && !running.contains(entry.first);
+  });
+  StopRunsOfEarlierLeaders(now, response, outputs);
   const bool has_other_runs = std::ranges::any_of(
       response.running, [&](const RunId& run) { return !runs_.contains(run); });
   if (state_ == State::kTakingOver && has_other_runs) {
     SendPoll(now, kTakeOverPollWait, false, true, outputs);
     return;
   }
-  if (state_ != State::kReady && clock_ms_) {
-    ChangeState(State::kReady, "answered", outputs);
-    for (auto& [run, state] : runs_) {
-      if (std::exchange(state.is_stopping, false)) {
-        Stop(now, run, outputs);
+  if (!IsResponding() && clock_ms_) {
+    ChangeState(IsStopLate(now) ? State::kStopping : State::kReady, "answered",
+                outputs);
+    next_stops_ = now + options_.stop_confirmation_limit;
+    for (const auto& [run, requested] : stopping_) {
+      if (runs_.contains(run)) {
+        SendStop(run, outputs);
       }
     }
   }
@@ -368,21 +401,23 @@
 
 // Nobody waits here for runs of an earlier leader, and their jobs may be
 // submitted again.
-void UpstreamSession::StopRunsOfEarlierLeaders(const PollResponse& response,
+void UpstreamSession::StopRunsOfEarlierLeaders(TimePoint now,
+                                               const PollResponse& response,
                                                SessionOutputs& outputs) {
   for (const RunId& run : response.running) {
     if (!runs_.contains(run)) {
-      const StopRequest stop{.request_number = ++last_request_number_,
-                             .run = run,
-                             .token = token_};
-      stops_[stop.request_number] = {.run = run, .token = token_};
-      outputs.push_back(stop);
+      stopping_.try_emplace(run, now);
+      SendStop(run, outputs);
     }
   }
 }
 
 void UpstreamSession::ContinuePolling(TimePoint now, SessionOutputs& outputs) {
-  if (state_ != State::kReady || poll_) {
+  if (!IsResponding()) {
+    return;
+  }
+  CheckStops(now, outputs);
+  if (poll_) {
     return;
   }
   if (!unsent_.empty()) {
@@ -391,17 +426,17 @@
     }
     return;
   }
-  if (runs_.empty()) {
+  if (runs_.empty() && stopping_.empty()) {
     idle_since_ = now;
     return;
   }
-  SendPoll(now, options_.poll_wait, true, false, outputs);
+  SendPoll(now, options_.poll_wait, !runs_.empty(), false, outputs);
 }
 
 void UpstreamSession::EnterRecovery(TimePoint now,
                                     std::string_view cause,
                                     SessionOutputs& outputs) {
-  if (state_ != State::kReady) {
+  if (!IsResponding()) {
     return;
   }
   ChangeState(State::kRecovering, cause, outputs);
@@ -436,6 +471,7 @@
                              std::string_view cause,
                              SessionOutputs& outputs) {
   unsent_.erase(run);
+  stopping_.erase(run);
   if (runs_.erase(run) > 0) {
     outputs.push_back(RunEnded{.run = run, .end = outcome, .cause = cause});
   }
@@ -453,6 +489,7 @@
   EndUnsentRuns(outputs);
   starts_.clear();
   stops_.clear();
+  stopping_.clear();
   poll_.reset();
   for (const auto& [run, state] : std::exchange(runs_, {})) {
     outputs.push_back(RunEnded{.run = run, .end = outcome, .cause = cause});
@@ -463,7 +500,9 @@
   switch (state_) {
     case State::kFenced:
       return;
-    case State::kReady: {
+    case State::kReady:
+    case State::kStopping: {
+      CheckStops(now, outputs);
       const bool has_unacknowledged_ends = acknowledged_ != acknowledged_sent_;
       if (!poll_ && runs_.empty() && has_unacknowledged_ends &&
           now >= idle_since_ + options_.idle_acknowledge_delay) {
@@ -505,11 +544,19 @@
   switch (state_) {
     case State::kFenced:
       return std::nullopt;
-    case State::kReady:
+    case State::kStopping:
+      return next_stops_;
+    case State::kReady: {
+      std::optional<TimePoint> next;
       if (!poll_ && runs_.empty() && acknowledged_ != acknowledged_sent_) {
-        return idle_since_ + options_.idle_acknowledge_delay;
+        next = idle_since_ + options_.idle_acknowledge_delay;
       }
-      return std::nullopt;
+      for (const auto& [run, requested] : stopping_) {
+        const TimePoint late = requested + options_.stop_confirmation_limit;
+        next = next ? std::min(*next, late) : late;
+      }
+      return next;
+    }
     case State::kRecovering:
       return poll_ ? lease_bound_ : std::min(lease_bound_, next_recovery_poll_);
     case State::kTakingOver:
--- a/src/control/upstream_session.h
+++ b/src/control/upstream_session.h
@@ -148,6 +148,12 @@
   // was last read. Beyond this drift, the clock is read before a run is
   // started, so that leases outlast a poll that gets lost.
   Duration longest_drift = std::chrono::milliseconds(200);
+  // If a run has not ended this long after its stop was requested, the stop is
+  // repeated, and no leases are extended at its upstream until it has ended.
+  // With the longest lease on a slow clock, the run thus ends within the 1.3 s
+  // after which a caller that lost its connection submits the job again, at any
+  // instance.
+  Duration stop_confirmation_limit = std::chrono::milliseconds(200);
   // Longest wait of a poll, short enough that leases are renewed well before
   // they expire.
   Duration poll_wait = std::chrono::milliseconds(450);
@@ -186,14 +192,15 @@
                            SessionOutputs& outputs);
 
   // Starts a run. The session must be ready. If the upstream has been silent
-  // for long, its clock is read first; if that fails, the run ends as not
-  // started.
+  // for long, its clock is read first; if that fails, or if a stop is late, the
+  // run ends as not started.
   void Start(TimePoint now,
              const RunId& run,
              std::string payload,
              SessionOutputs& outputs);
 
-  // Stops a run. Its end is reported by `RunEnded`, like that of any run.
+  // Stops a run. Its end is reported by `RunEnded`, like that of any run. If
+  // the stop is not carried out, the run ends with its lease.
   void Stop(TimePoint now, const RunId& run, SessionOutputs& outputs);
 
   void OnStartResponse(TimePoint now,
@@ -209,8 +216,8 @@
                       const std::variant<PollResponse, NoResponse>& response,
                       SessionOutputs& outputs);
 
-  // Performs what is due at `now`: recovery polls, expiry of leases, and
-  // delayed acknowledgements.
+  // Performs what is due at `now`: recovery polls, expiry of leases, repeated
+  // stops, and delayed acknowledgements.
   void Advance(TimePoint now, SessionOutputs& outputs);
   std::optional<TimePoint> next_wakeup() const;
 
@@ -232,6 +239,8 @@
     // stopped.
     kTakingOver,
     kReady,
+    // The upstream responds, but a run has not ended in time after its stop.
+    kStopping,
     // A request got no response, so the state of the runs is unknown.
     kRecovering,
     // No response came before all leases expired, or another incarnation
@@ -243,7 +252,6 @@
 
   struct Run {
     bool is_confirmed = false;
-    bool is_stopping = false;
     TimePoint confirmed_at;
   };
 
@@ -267,11 +275,19 @@
                  const RunId& run,
                  std::string payload,
                  SessionOutputs& outputs);
+  void SendStop(const RunId& run, SessionOutputs& outputs);
+  // Returns whether a run has not ended in time after its stop was requested.
+  bool IsStopLate(TimePoint now) const;
+  // Holds starts and repeats the stops while a stop is late.
+  void CheckStops(TimePoint now, SessionOutputs& outputs);
   void SendPoll(TimePoint now,
                 Duration wait,
                 bool extends_lease,
                 bool is_recovery,
                 SessionOutputs& outputs);
+  bool IsResponding() const {
+    return state_ == State::kReady || state_ == State::kStopping;
+  }
   void ContinuePolling(TimePoint now, SessionOutputs& outputs);
   void EnterRecovery(TimePoint now,
                      std::string_view cause,
@@ -306,13 +322,18 @@
                  const PendingPoll& poll,
                  const PollResponse& response,
                  SessionOutputs& outputs);
-  void StopRunsOfEarlierLeaders(const PollResponse& response,
+  void StopRunsOfEarlierLeaders(TimePoint now,
+                                const PollResponse& response,
                                 SessionOutputs& outputs);
 
   SessionOptions options_;
   std::uint64_t token_;
   State state_ = State::kTakingOver;
   std::map<RunId, Run> runs_;
+  // Runs to be stopped, also those of earlier leaders, and when each stop was
+  // first requested.
+  std::map<RunId, TimePoint> stopping_;
+  TimePoint next_stops_;
   // Payloads of runs that wait for a reading of the upstream's clock.
   std::map<RunId, std::string> unsent_;
   std::map<RequestNumber, PendingRunRequest> starts_;
--- a/tests/upstream_session_test.cc
+++ b/tests/upstream_session_test.cc
@@ -4,7 +4,11 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <map>
 #include <optional>
+#include <set>
+#include <utility>
+#include <vector>
 
 #include "control/fencing_token.h"
 
@@ -119,6 +123,112 @@
   double clock_rate_;
 };
 
+enum class StopAnswer { kDone, kUnhealthy, kNone };
+
+// Responds to starts and polls at once and grants leases on its own clock, but
+// carries out stops late or never.
+class SlowlyStoppingUpstream {
+ public:
+  SlowlyStoppingUpstream(SessionRig& rig,
+                         StopAnswer answer,
+                         std::optional<Duration> stop_time)
+      : rig_(rig), answer_(answer), stop_time_(stop_time) {}
+
+  bool IsRunning(const RunId& run) const { return running_.contains(run); }
+  int stops() const { return stops_; }
+
+  void RunUntil(TimePoint end) {
+    while (rig_.now < end) {
+      rig_.AdvanceBy(milliseconds(5));
+      while (const auto start = rig_.Take<StartRequest>()) {
+        running_.insert(start->run);
+        lease_expiry_ = std::max(lease_expiry_, start->lease_expiry_ms);
+        rig_.Confirm(*start);
+      }
+      while (const auto stop = rig_.Take<StopRequest>()) {
+        OnStop(*stop);
+      }
+      if (const auto poll = rig_.Take<PollRequest>()) {
+        lease_expiry_ =
+            std::max(lease_expiry_, poll->lease_expiry_ms.value_or(0));
+        std::erase_if(ended_, [&](const ReportedRunEnd& ended) {
+          return ended.number <= poll->acknowledged;
+        });
+        poll_ = poll;
+        poll_due_ = rig_.now + poll->wait;
+      }
+      EndRuns();
+      Respond();
+    }
+  }
+
+ private:
+  static constexpr Duration kStopTimeout = milliseconds(120);
+
+  void OnStop(const StopRequest& stop) {
+    ++stops_;
+    if (stop_time_) {
+      stop_due_.try_emplace(stop.run, rig_.now + *stop_time_);
+    }
+    unanswered_stops_.emplace_back(
+        rig_.now + (answer_ == StopAnswer::kNone ? kStopTimeout : Duration(0)),
+        stop.request_number);
+  }
+
+  void EndRuns() {
+    for (const auto& [run, due] : stop_due_) {
+      if (rig_.now >= due && running_.erase(run) > 0) {
+        ended_.push_back(
+            {.number = ++last_end_, .run = run, .end = RunOutcome::kStopped});
+      }
+    }
+    if (rig_.clock() >= lease_expiry_) {
+      for (const RunId& run : std::exchange(running_, {})) {
+        ended_.push_back({.number = ++last_end_,
+                          .run = run,
+                          .end = RunOutcome::kLeaseExpired});
+      }
+    }
+  }
+
+  void Respond() {
+    for (const auto& [due, number] : std::exchange(unanswered_stops_, {})) {
+      if (rig_.now < due) {
+        unanswered_stops_.emplace_back(due, number);
+      } else if (answer_ == StopAnswer::kNone) {
+        rig_.session.OnStopResponse(rig_.now, number, NoResponse{},
+                                    rig_.outputs);
+      } else {
+        rig_.session.OnStopResponse(
+            rig_.now, number,
+            RunResponse{.result = answer_ == StopAnswer::kDone
+                                      ? ResponseStatus::kDone
+                                      : ResponseStatus::kUnhealthy,
+                        .stamp = rig_.stamp()},
+            rig_.outputs);
+      }
+    }
+    if (poll_ && (rig_.now >= poll_due_ || !ended_.empty())) {
+      rig_.Respond(*std::exchange(poll_, std::nullopt),
+                   {running_.begin(), running_.end()}, ended_);
+    }
+  }
+
+  SessionRig& rig_;
+  StopAnswer answer_;
+  // Absent: stops are not carried out.
+  std::optional<Duration> stop_time_;
+  std::set<RunId> running_;
+  std::vector<ReportedRunEnd> ended_;
+  std::uint64_t last_end_ = 0;
+  std::int64_t lease_expiry_ = 0;
+  std::optional<PollRequest> poll_;
+  TimePoint poll_due_;
+  std::map<RunId, TimePoint> stop_due_;
+  std::vector<std::pair<TimePoint, RequestNumber>> unanswered_stops_;
+  int stops_ = 0;
+};
+
 // Guards against starts before it is known what runs at the upstream.
 Test(upstream_session, runs_of_a_predecessor_are_stopped_first) {
   SessionRig rig;
@@ -430,6 +540,133 @@
   cr_assert_eq(rig.Take<StopRequest>()->run, Run(0));
 }
 
+// Guards against a run of an abandoned job that continues for as long as other
+// runs on its upstream, beside a run of the job's next submission elsewhere.
+Test(upstream_session, run_ends_in_time_though_its_stop_is_not_carried_out) {
+  // A caller submits a job again at the earliest after this time.
+  constexpr Duration kResubmission = milliseconds(1300);
+  for (const StopAnswer answer :
+       {StopAnswer::kDone, StopAnswer::kUnhealthy, StopAnswer::kNone}) {
+    for (int delay = 0; delay < 500; delay += 45) {
+      SessionRig rig(0.98);
+      rig.BecomeReady();
+      SlowlyStoppingUpstream upstream(rig, answer, std::nullopt);
+      rig.session.Start(rig.now, Run(0), "p", rig.outputs);
+      rig.session.Start(rig.now, Run(1), "p", rig.outputs);
+      upstream.RunUntil(rig.now + milliseconds(700 + delay));
+      cr_assert(upstream.IsRunning(Run(0)));
+      rig.session.Stop(rig.now, Run(0), rig.outputs);
+      const TimePoint stopped = rig.now;
+      upstream.RunUntil(stopped + kResubmission);
+      cr_assert(!upstream.IsRunning(Run(0)),
+                "answer %d, stopped after %d ms: still running",
+                static_cast<int>(answer), 700 + delay);
+      cr_assert(rig.EndOf(Run(0)) == RunOutcome::kLeaseExpired);
+      cr_assert(rig.session.is_ready());
+      cr_assert_geq(upstream.stops(), 2, "the stop is not repeated");
+    }
+  }
+}
+
+// Guards against a bound that holds only if the upstream reports the end.
+Test(upstream_session, leases_are_not_extended_after_an_unconfirmed_stop) {
+  SessionRig rig;
+  rig.BecomeReady();
+  rig.Confirm(rig.Start(Run(0)));
+  rig.Confirm(rig.Start(Run(1)));
+  rig.session.Stop(rig.now, Run(0), rig.outputs);
+  const TimePoint stopped = rig.now;
+  PollRequest poll = *rig.Take<PollRequest>();
+  cr_assert(rig.session.next_wakeup() == stopped + milliseconds(200));
+  for (int number = 0; number < 30; ++number) {
+    rig.AdvanceBy(milliseconds(100));
+    rig.Respond(poll, {Run(0), Run(1)});
+    poll = *rig.Take<PollRequest>();
+    cr_assert_leq(
+        ToMilliseconds(rig.session.lease_bound() - stopped), 1300,
+        "leases may last for %d ms after the stop",
+        static_cast<int>(ToMilliseconds(rig.session.lease_bound() - stopped)));
+  }
+  cr_assert(!rig.session.is_ready(), "a start would extend the leases");
+}
+
+// Guards against runs that lapse because another one on their upstream was
+// stopped slowly.
+Test(upstream_session, other_runs_outlast_a_slow_stop) {
+  for (const StopAnswer answer : {StopAnswer::kDone, StopAnswer::kNone}) {
+    for (int delay = 0; delay < 500; delay += 45) {
+      SessionRig rig;
+      rig.BecomeReady();
+      SlowlyStoppingUpstream upstream(rig, answer, milliseconds(500));
+      rig.session.Start(rig.now, Run(0), "p", rig.outputs);
+      rig.session.Start(rig.now, Run(1), "p", rig.outputs);
+      upstream.RunUntil(rig.now + milliseconds(700 + delay));
+      rig.session.Stop(rig.now, Run(0), rig.outputs);
+      const TimePoint stopped = rig.now;
+      upstream.RunUntil(stopped + milliseconds(100));
+      cr_assert(answer == StopAnswer::kNone || rig.session.is_ready());
+      upstream.RunUntil(stopped + std::chrono::seconds(3));
+      cr_assert(rig.EndOf(Run(0)) == RunOutcome::kStopped);
+      cr_assert(upstream.IsRunning(Run(1)) && !rig.EndOf(Run(1)));
+      cr_assert(rig.session.is_ready());
+    }
+  }
+}
+
+// Guards against a poll that extends leases because the state of the upstream
+// is unknown, while a stop is not confirmed.
+Test(upstream_session, recovery_does_not_extend_the_lease_of_a_stopped_run) {
+  SessionRig rig;
+  rig.BecomeReady();
+  rig.Confirm(rig.Start(Run(0)));
+  const PollRequest poll = *rig.Take<PollRequest>();
+  rig.session.Stop(rig.now, Run(0), rig.outputs);
+  rig.AdvanceBy(milliseconds(450));
+  rig.session.OnPollResponse(rig.now, poll.request_number, NoResponse{},
+                             rig.outputs);
+  const PollRequest recovery = *rig.Take<PollRequest>();
+  cr_assert(recovery.is_recovery && !recovery.lease_expiry_ms);
+  rig.outputs.clear();
+  rig.Respond(recovery, {Run(0)});
+  cr_assert_eq(rig.Take<StopRequest>()->run, Run(0));
+  cr_assert(!rig.session.is_ready());
+  cr_assert(!rig.Take<PollRequest>()->lease_expiry_ms);
+}
+
+// Guards against a start that extends the lease of a run to be stopped before
+// the session has noticed that the stop is late.
+Test(upstream_session, start_beside_an_unconfirmed_stop_is_not_sent) {
+  SessionRig rig;
+  rig.BecomeReady();
+  rig.Confirm(rig.Start(Run(0)));
+  rig.session.Stop(rig.now, Run(0), rig.outputs);
+  rig.now += milliseconds(900);
+  const TimePoint bound = rig.session.lease_bound();
+  rig.session.Start(rig.now, Run(1), "p", rig.outputs);
+  cr_assert(!rig.Take<StartRequest>());
+  cr_assert(rig.EndOf(Run(1)) == RunOutcome::kNotStarted);
+  cr_assert(rig.session.lease_bound() == bound);
+}
+
+// Guards against leases that are extended for a run that nobody waits for and
+// that is not part of the session.
+Test(upstream_session, unknown_run_that_does_not_stop_gets_no_leases) {
+  SessionRig rig;
+  rig.BecomeReady();
+  rig.Confirm(rig.Start(Run(0)));
+  rig.Respond(*rig.Take<PollRequest>(), {Run(0), Run(9)});
+  cr_assert_eq(rig.Take<StopRequest>()->run, Run(9));
+  rig.AdvanceBy(milliseconds(300));
+  cr_assert_eq(rig.Take<StopRequest>()->run, Run(9), "the stop is repeated");
+  cr_assert(!rig.session.is_ready());
+  rig.Respond(*rig.Take<PollRequest>(), {Run(0), Run(9)});
+  const PollRequest poll = *rig.Take<PollRequest>();
+  cr_assert(!poll.lease_expiry_ms);
+  rig.Respond(poll, {Run(0)});
+  cr_assert(rig.session.is_ready() && !rig.EndOf(Run(0)));
+  cr_assert(rig.Take<PollRequest>()->lease_expiry_ms.has_value());
+}
+
 // Guards against ends at an idle upstream that are never acknowledged.
 Test(upstream_session, ends_at_an_idle_upstream_are_acknowledged) {
   SessionRig rig;
