Skip items of the store that are no items

One item of a list that is not an item (not an object, no key, a key that is not a text, no usable revision) could stop or end every instance that reads it: it was kept under the empty key.

Cause: as the last item of a page, its key decided where the next page begins, so the first page was read again and again, in ever more memory. With a sound value, DecodeUpstream and the reader of leader records cut the prefix off the empty key, which throws an exception that nothing catches. A revision that is missing or far too large hid later changes of the key.

--- a/src/node/prefix_mirror.cc
+++ b/src/node/prefix_mirror.cc
@@ -116,16 +116,18 @@
       std::string key = item.key;
       items.emplace(std::move(key), std::move(item));
     }
-    const bool has_changed = items != items_;
-    Replace(range.revision, std::move(items));
-    if (has_changed) {
+    if (Replace(range.revision, std::move(items))) {
       on_change_();
     }
   }
   ReadOrWatch();
 }
 
-void PrefixMirror::Replace(std::int64_t revision, MirroredItems items) {
+bool PrefixMirror::Replace(std::int64_t revision, MirroredItems items) {
+  std::erase_if(items, [this](const auto& entry) {
+    return !entry.first.starts_with(prefix_);
+  });
+  const bool has_changed = items != items_;
   if (revision_ == 0) {
     removals_since_ = revision;
   }
@@ -144,9 +146,13 @@
   }
   items_ = std::move(items);
   revision_ = revision;
+  return has_changed;
 }
 
 bool PrefixMirror::Put(KeyValue item) {
+  if (!item.key.starts_with(prefix_)) {
+    return false;
+  }
   const auto known = items_.find(item.key);
   const auto removal = removals_.find(item.key);
   const bool is_outdated =
@@ -276,8 +282,7 @@
   }
   bool has_changed = false;
   if (changes.since == 0) {
-    has_changed = changes.items != items_;
-    Replace(changes.revision, std::move(changes.items));
+    has_changed = Replace(changes.revision, std::move(changes.items));
   } else {
     for (auto& [key, item] : changes.items) {
       has_changed = Put(std::move(item)) || has_changed;
--- a/src/node/prefix_mirror.h
+++ b/src/node/prefix_mirror.h
@@ -111,8 +111,9 @@
   void OnRead(StoreResult<RangeResult> result);
   void OnWatched(StoreResult<WatchResult> result);
   void OnStoreResponse();
-  // Replaces all items by those of the store at `revision`.
-  void Replace(std::int64_t revision, MirroredItems items);
+  // Replaces all items by those of the store at `revision`. Returns true if
+  // they differ. Items of another prefix are left out, here and by `Put`.
+  bool Replace(std::int64_t revision, MirroredItems items);
   // Applies a single change. Return true if it was new.
   bool Put(KeyValue item);
   bool Remove(const std::string& key, std::int64_t revision);
--- a/tests/platform_messages_test.cc
+++ b/tests/platform_messages_test.cc
@@ -6,6 +6,8 @@
 
 #include <random>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include "platform/job_messages.h"
 #include "platform/store_values.h"
@@ -205,6 +207,45 @@
   }
 }
 
+// Returns the text of a sound entry whose `member` has the value `raw`, or is
+// missing if `raw` is empty.
+std::string Entry(std::string_view member = "", std::string_view raw = "") {
+  const std::pair<std::string_view, std::string_view> sound[] = {
+      {"service", R"("s")"},
+      {"address", R"("10.0.0.1:80")"},
+      {"zone", R"("z")"},
+      {"state", R"("ready")"},
+      {"slots", "8"},
+      {"capacity", R"({"cpu":16000,"mem_mb":32768,"gpu":0})"},
+      {"labels", R"(["a","r1-3"])"},
+      {"born", "1765000000000"},
+      {"seq", "4"}};
+  std::string text;
+  for (const auto& [name, value] : sound) {
+    const std::string_view used = name == member ? raw : value;
+    if (!used.empty()) {
+      text += text.empty() ? "{\"" : ",\"";
+      text.append(name).append("\":").append(used);
+    }
+  }
+  return text + "}";
+}
+
+std::optional<schedule::Upstream> Decode(std::string value,
+                                         std::string key = "servers/i-1") {
+  std::string fault;
+  return DecodeUpstream({.key = std::move(key), .value = std::move(value)},
+                        fault);
+}
+
+// Guards against a key without an ID, which ended the process by an exception.
+Test(platform_messages, entries_without_an_id_name_no_upstream) {
+  cr_assert(Decode(Entry()));
+  for (const char* const key : {"", "servers", "servers/", "other/i-1"}) {
+    cr_expect(!Decode(Entry(), key), "%s", key);
+  }
+}
+
 // Guards against input that crashes a decoder. Applies random changes to valid
 // messages; the seed is fixed, so failures are reproducible.
 Test(platform_messages, decoders_survive_random_changes) {
--- a/tests/store_snapshot_test.cc
+++ b/tests/store_snapshot_test.cc
@@ -8,12 +8,16 @@
 #include <criterion/criterion.h>
 // clang-format on
 
+#include <algorithm>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include "http/server.h"
 #include "node/prefix_mirror.h"
+#include "platform/store_client.h"
 #include "standins/relay.h"
 
 namespace jaypick::testing {
@@ -161,6 +165,166 @@
   cr_assert(rig.to.current_as_of() == now);
 }
 
+// A store that answers reads and watches with the bodies of the test; the last
+// one is repeated.
+class BodiesStore {
+ public:
+  BodiesStore(EventLoop& loop, std::vector<std::string> bodies)
+      : bodies_(std::move(bodies)),
+        server_(loop.base(), {.address = {.host = "127.0.0.1", .port = 0}}) {
+    for (const char* const path : {"/api/kv-range", "/api/kv-watch"}) {
+      server_.Handle(
+          http::Method::kGet, path,
+          [this](const http::Request& request, http::Responder responder) {
+            const auto after = request.query.find("after");
+            after_.push_back(after == request.query.end() ? "" : after->second);
+            const std::size_t body =
+                std::min(after_.size(), bodies_.size()) - 1;
+            responder.Send({.body = bodies_[body]});
+          });
+    }
+  }
+
+  Address address() const {
+    return {.host = "127.0.0.1", .port = server_.port()};
+  }
+  // The member `after` of all requests so far.
+  const std::vector<std::string>& after() const { return after_; }
+
+ private:
+  std::vector<std::string> bodies_;
+  std::vector<std::string> after_;
+  http::Server server_;
+};
+
+// Items that are no items; "djM=" is the text "v3".
+constexpr const char* kOddItems[] = {
+    "null",
+    "7",
+    R"("...")",
+    "[]",
+    "{}",
+    R"({"value":"djM=","revision":3})",
+    R"({"key":7,"value":"djM=","revision":3})",
+    R"({"key":"","value":"djM=","revision":3})",
+    R"({"key":"p/x","value":"djM="})",
+    R"({"key":"p/x","value":"djM=","revision":"3"})",
+    R"({"key":"p/x","value":"djM=","revision":-3})",
+    R"({"key":"p/x","value":"djM=","revision":0})",
+    R"({"key":"p/x","value":"djM=","revision":3.5})",
+    R"({"key":"p/x","value":"djM=","revision":9223372036854775807})",
+    R"({"key":"p/x","value":"djM=","revision":99999999999999999999})"};
+
+StoreResult<RangeResult> ReadAll(EventLoop& loop, const BodiesStore& store) {
+  adapter::StoreClient client(loop.base(), {.address = store.address()});
+  std::optional<StoreResult<RangeResult>> result;
+  client.Range(
+      {.key = "p/", .range_end = "p0"},
+      [&](StoreResult<RangeResult> read) { result = std::move(read); });
+  cr_assert(loop.RunUntil(
+      [&] { return result.has_value() || store.after().size() > 20; }));
+  cr_assert(result.has_value(), "the same page is read again and again");
+  return *result;
+}
+
+// Guards against one item of a list that is no item and ends the process, is
+// used, or makes it read the same page forever.
+Test(store_snapshot, odd_items_of_a_page_are_skipped) {
+  for (const char* const odd : kOddItems) {
+    EventLoop loop;
+    const BodiesStore store(
+        loop, {R"({"items":[)" + std::string(odd) +
+                   R"(,{"key":"p/a","value":"djM=","revision":3},)" + odd +
+                   R"(],"has_more":true,"current_rev":9})",
+               R"({"items":[{"key":"p/z","value":"djM=","revision":4}],)"
+               R"("has_more":false,"current_rev":10})"});
+    const auto result = ReadAll(loop, store);
+    const auto* const range = std::get_if<RangeResult>(&result);
+    cr_assert(range != nullptr, "%s", odd);
+    cr_expect_eq(range->revision, 9);
+    cr_expect_eq(range->values.size(), 2, "%s: %zu items", odd,
+                 range->values.size());
+    cr_expect_eq(store.after().size(), 2);
+    cr_expect(store.after().back() == "p/a", "%s: after \"%s\"", odd,
+              store.after().back().c_str());
+    for (const KeyValue& item : range->values) {
+      cr_expect(item.key == "p/a" || item.key == "p/z", "%s: \"%s\"", odd,
+                item.key.c_str());
+      cr_expect_str_eq(item.value.c_str(), "v3");
+    }
+  }
+}
+
+// Guards against reading a list forever, in ever more memory, if no page has
+// an item after which the next page begins.
+Test(store_snapshot, pages_that_lead_no_further_end_the_read) {
+  const std::string sound = R"({"key":"p/a","value":"djM=","revision":3})";
+  for (const std::string& items : {std::string(), std::string("7"), sound}) {
+    EventLoop loop;
+    const BodiesStore store(
+        loop,
+        {R"({"items":[)" + sound + R"(],"has_more":true,"current_rev":9})",
+         R"({"items":[)" + items + R"(],"has_more":true,"current_rev":9})"});
+    const auto result = ReadAll(loop, store);
+    cr_expect(std::holds_alternative<StoreError>(result), "%s", items.c_str());
+    cr_expect_eq(store.after().size(), 2);
+  }
+}
+
+// Guards against one odd event that ends the process or hides the others.
+Test(store_snapshot, odd_events_of_a_watch_are_skipped) {
+  std::vector<std::string> odd(std::begin(kOddItems), std::end(kOddItems));
+  for (const char* const removal :
+       {R"({"deleted":true})", R"({"deleted":true,"key":7,"revision":3})",
+        R"({"deleted":true,"key":"p/a"})",
+        R"({"deleted":true,"key":"p/a","revision":9223372036854775807})"}) {
+    odd.emplace_back(removal);
+  }
+  for (const std::string& event : odd) {
+    EventLoop loop;
+    const BodiesStore store(
+        loop, {R"({"events":[)" + event +
+               R"(,{"key":"p/a","value":"djM=","revision":3},)" + event +
+               R"(],"current_rev":9})"});
+    adapter::StoreClient client(loop.base(), {.address = store.address()});
+    std::optional<StoreResult<WatchResult>> result;
+    client.Watch(
+        {.prefix = "p/", .after_revision = 2, .wait = Duration(0)},
+        [&](StoreResult<WatchResult> watched) { result = std::move(watched); });
+    cr_assert(loop.RunUntil([&] { return result.has_value(); }));
+    const auto* const changes = std::get_if<WatchResult>(&*result);
+    cr_assert(changes != nullptr, "%s", event.c_str());
+    cr_expect_eq(changes->revision, 9);
+    cr_expect_eq(changes->events.size(), 1, "%s: %zu events", event.c_str(),
+                 changes->events.size());
+  }
+}
+
+// Guards against items of another prefix, whose keys the readers of the mirror
+// shorten by the prefix: an exception ended the process.
+Test(store_snapshot, items_of_another_prefix_are_not_mirrored) {
+  MirrorRig rig;
+  const MirroredItems items = {{"", Item("", 3)},
+                               {"o", Item("o", 3)},
+                               {"p", Item("p", 3)},
+                               {"p/a", Item("p/a", 3)}};
+  const auto assert_only_a = [&] {
+    cr_assert_eq(rig.to.items().size(), 1, "%zu", rig.to.items().size());
+    cr_assert(rig.to.items().contains("p/a"));
+  };
+  rig.to.Merge({.prefix = "p/", .revision = 10, .items = items},
+               rig.runtime.Now());
+  assert_only_a();
+  rig.to.Merge({.prefix = "p/",
+                .since = 10,
+                .revision = 20,
+                .items = {{"x", Item("x", 15)}}},
+               rig.runtime.Now());
+  assert_only_a();
+  rig.to.MergeItems({{"y", Item("y", 25)}});
+  assert_only_a();
+}
+
 // A store whose watches the test answers.
 class ScriptedStore : public SilentStore {
  public:
