Refuse addresses to which no connection can be opened

An entry of another writer with port 0 or with a host name became an upstream, and the leader kept connecting to it ("evhttp_connection_connect_: connection to "127.0.0.1" failed", 118 lines in one test). A host name would be looked up in the event loop, which stands still meanwhile. In messages between instances a port was cut to 16 bits: 72537 meant another process at port 7001.

Cause: the port was only checked to be a number, and the host not at all. The JSON library converts numbers without a check.

Change: one function decides for entries, leader records, pings and delegations: the host must be a numeric address, as `Address` says, and the port from 1 to 65535.

An entry or message with another address is not used at all; the others hold.

--- a/src/node/peer_messages.cc
+++ b/src/node/peer_messages.cc
@@ -1,10 +1,13 @@
 #include "node/peer_messages.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "node/address.h"
+
 namespace jaypick::node {
 namespace {
 
@@ -14,6 +17,9 @@
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+// Thrown for a member that has the right type, but no usable value.
+class InvalidMember : public std::exception {};
+
 // Decodes with the checked accessors of the JSON library, which throw if a
 // member is missing or has the wrong type. Returns nullopt in that case.
 template <typename Value, typename Decoder>
@@ -22,7 +28,20 @@
     return decoder(json::parse(text));
   } catch (const json::exception&) {
     return std::nullopt;
+  } catch (const InvalidMember&) {
+    return std::nullopt;
+  }
+}
+
+Address AddressFrom(const json& value) {
+  const json& port = value.at("port");
+  auto address = ToConnectableAddress(
+      value.at("host"),
+      port.is_number_unsigned() ? port.get<std::uint64_t>() : 0);
+  if (!address) {
+    throw InvalidMember();
   }
+  return *std::move(address);
 }
 
 json ToJson(const schedule::Step& step) {
@@ -115,7 +134,7 @@
   return {.instance = value.at("instance"),
           .failure_domain = value.at("domain"),
           .incarnation = value.at("incarnation"),
-          .address = {.host = value.at("host"), .port = value.at("port")},
+          .address = AddressFrom(value),
           .processor_share = value.at("processor_share")};
 }
 
--- a/tests/peer_messages_test.cc
+++ b/tests/peer_messages_test.cc
@@ -131,5 +131,30 @@
   }
 }
 
+// Replaces the first occurrence of `from`, which must exist.
+std::string Replaced(std::string text,
+                     const std::string& from,
+                     const std::string& to) {
+  const std::size_t position = text.find(from);
+  cr_assert_neq(position, std::string::npos, "%s", from.c_str());
+  return text.replace(position, from.size(), to);
+}
+
+// Guards against ports that are cut to 16 bits, so that a node calls another
+// process.
+Test(peer_messages, unusable_addresses_are_rejected) {
+  const std::string sound = Encode(kFrom);
+  cr_assert(DecodeLeaderRecord(sound));
+  for (const char* const port : {"0", "65536", "72537", "-1", "7001.5", "1e300",
+                                 "99999999999999999999", "\"7001\"", "null"}) {
+    cr_expect(!DecodeLeaderRecord(Replaced(sound, "7001", port)), "%s", port);
+  }
+  for (const char* const host :
+       {"", "localhost", "executor.example", "127.0.0.256"}) {
+    cr_expect(!DecodeLeaderRecord(Replaced(sound, "127.0.0.1", host)), "%s",
+              host);
+  }
+}
+
 }  // namespace
 }  // namespace jaypick::node
--- a/tests/platform_messages_test.cc
+++ b/tests/platform_messages_test.cc
@@ -246,6 +246,42 @@
   }
 }
 
+// Guards against addresses to which no connection can be opened, and against
+// host names: looking one up blocks the event loop.
+Test(platform_messages, unusable_addresses_name_no_upstream) {
+  for (const char* const address : {"",
+                                    "null",
+                                    "80",
+                                    "{}",
+                                    "[]",
+                                    R"("")",
+                                    R"(":80")",
+                                    R"("10.0.0.1")",
+                                    R"("10.0.0.1:")",
+                                    R"("10.0.0.1:0")",
+                                    R"("10.0.0.1:00")",
+                                    R"("10.0.0.1:65536")",
+                                    R"("10.0.0.1:99999999999999999999")",
+                                    R"("10.0.0.1:-1")",
+                                    R"("10.0.0.1:+80")",
+                                    R"("10.0.0.1:80.5")",
+                                    R"("10.0.0.1:8e1")",
+                                    R"("10.0.0.1: 80")",
+                                    R"("10.0.0.1:80 ")",
+                                    R"("10.0.0.1:http")",
+                                    R"("executor.example:80")",
+                                    R"("localhost:80")",
+                                    R"("10.0.0.256:80")",
+                                    R"("10.0.1:80")",
+                                    R"(" 10.0.0.1:80")",
+                                    R"("10.0.0.1\u0000:80")"}) {
+    cr_expect(!Decode(Entry("address", address)), "%s", address);
+  }
+  const auto highest = Decode(Entry("address", R"("10.0.0.1:65535")"));
+  cr_assert(highest);
+  cr_assert_eq(highest->address.port, 65535);
+}
+
 // Guards against input that crashes a decoder. Applies random changes to valid
 // messages; the seed is fixed, so failures are reproducible.
 Test(platform_messages, decoders_survive_random_changes) {
