--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -695,5 +695,25 @@
   cr_assert_eq(rig.StatusOf(Id(0)), 200);
 }
 
+// Guards against tasks on an upstream of a service that no route names.
+Test(node, upstream_of_an_unknown_service_runs_nothing) {
+  PlatformRig rig;
+  standin::PlatformUpstream unknown(
+      rig.runtime, rig.store, rig.run_monitor,
+      {.id = "x1", .service = "unknown", .zone = "ghent"});
+  rig.AddNode();
+  cr_assert(rig.WaitUntilReady());
+  bool was_used = false;
+  for (int job = 0; job < 20; ++job) {
+    rig.Submit(0, Id(job), 2, "100");
+    rig.loop.RunFor(30);
+    was_used = was_used || unknown.running() > 0;
+  }
+  cr_assert(rig.WaitForResponses());
+  cr_assert(!was_used);
+  cr_assert_geq(CountStatus(rig, 20, 200), 10);
+  AssertNoViolation(rig);
+}
+
 }  // namespace
 }  // namespace jaypick::testing
--- a/tests/platform_messages_test.cc
+++ b/tests/platform_messages_test.cc
@@ -282,6 +282,84 @@
   cr_assert_eq(highest->address.port, 65535);
 }
 
+struct OddMember {
+  const char* name;
+  const char* raw;
+};
+
+// Guards against odd numbers that are taken for a start at 1970, for no limit
+// of slots or for another capacity.
+Test(platform_messages, odd_numbers_name_no_upstream) {
+  const OddMember cases[] = {
+      {"born", ""},
+      {"born", "null"},
+      {"born", R"("1765000000000")"},
+      {"born", "[]"},
+      {"born", "true"},
+      {"born", "0"},
+      {"born", "-1765000000000"},
+      {"born", "1765000000000.5"},
+      {"born", "1e300"},
+      {"born", "1e999"},
+      {"born", "8999999999999999"},
+      {"born", "9223372036854775807"},
+      {"born", "18446744073709551615"},
+      {"born", "99999999999999999999"},
+      {"slots", ""},
+      {"slots", "null"},
+      {"slots", R"("8")"},
+      {"slots", "-1"},
+      {"slots", "1.5"},
+      {"slots", "4294967296"},
+      {"slots", "99999999999999999999"},
+      {"slots", "1e999"},
+      {"capacity", ""},
+      {"capacity", "null"},
+      {"capacity", "16000"},
+      {"capacity", "{}"},
+      {"capacity", R"({"cpu":16000})"},
+      {"capacity", R"({"cpu":-1,"mem_mb":1})"},
+      {"capacity", R"({"cpu":0.5,"mem_mb":1})"},
+      {"capacity", R"({"cpu":"16000","mem_mb":1})"},
+      {"capacity", R"({"cpu":NaN,"mem_mb":1})"},
+      {"capacity", R"({"cpu":null,"mem_mb":1})"},
+      {"capacity", R"({"cpu":1e300,"mem_mb":1})"},
+      {"capacity", R"({"cpu":4294967295,"mem_mb":1})"},
+      {"capacity", R"({"cpu":16000,"mem_mb":99999999999999999999})"},
+      {"capacity", R"({"cpu":16000,"mem_mb":1,"gpu":-1})"},
+      {"labels", "5"},
+      {"labels", R"(["a",7])"}};
+  for (const OddMember& each : cases) {
+    cr_expect(!Decode(Entry(each.name, each.raw)), "%s: %s", each.name,
+              each.raw);
+  }
+  const auto upstream = Decode(Entry("born", "1765000000000.0"));
+  cr_assert(upstream);
+  cr_assert_eq(upstream->started_unix_ms, 1'765'000'000'000);
+}
+
+// Guards against numbers of a response that are taken for another run, for
+// another incarnation, or overflow the arithmetic of leases.
+Test(platform_messages, odd_numbers_of_a_response_are_not_used) {
+  for (const char* const odd :
+       {"null", R"("7")", "-1", "0.5", "1e300", "9223372036854775807",
+        "18446744073709551615", "99999999999999999999"}) {
+    const std::string text(odd);
+    const auto response = std::get<control::PollResponse>(DecodePollResponse(
+        Reply(200, R"({"clock_ms":)" + text + R"(,"born":)" + text +
+                       R"(,"running":[["5c0e7a21d94b36f8.0.0.1",)" + text +
+                       R"(]],"ended":[[)" + text +
+                       R"(,"5c0e7a21d94b36f8.0.0.1",1,"done",""]]})")));
+    cr_expect(!response.stamp.clock_ms, "%s", odd);
+    cr_expect(!response.stamp.started_unix_ms, "%s", odd);
+    cr_expect(response.running.empty(), "%s", odd);
+    cr_expect(response.ended.empty(), "%s", odd);
+  }
+  const auto response = std::get<control::PollResponse>(DecodePollResponse(
+      Reply(200, R"({"running":[["5c0e7a21d94b36f8.0.0.1",4294967298,""]]})")));
+  cr_expect(response.running.empty(), "2^32 + 2 is not run 2");
+}
+
 // Guards against input that crashes a decoder. Applies random changes to valid
 // messages; the seed is fixed, so failures are reproducible.
 Test(platform_messages, decoders_survive_random_changes) {
