Do not parse JSON texts that are nested too deeply

A deeply nested text did not end a process: the JSON library parses and destroys values without recursion, and nothing here copies, compares or dumps a foreign value. But such texts were accepted wherever the deep part was not looked at, as entries, jobs, configurations, responses and messages of peers, and one of 1 MiB took 78,020 KiB (of 260 MiB that an instance may have) while it was parsed. A settings file took memory with the square of its depth (by reading).

Change: texts of the store, of upstreams, callers and peers are parsed in one place, which first counts the brackets outside of strings and refuses more than 64 levels. Settings files get a finding beyond 64 levels.

Copies and dumps, which do recurse, stay bounded if code adds them.

--- a/src/node/peer_messages.cc
+++ b/src/node/peer_messages.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "node/address.h"
+#include "node/bounded_json.h"
 
 namespace jaypick::node {
 namespace {
@@ -21,11 +22,13 @@
 class InvalidMember : public std::exception {};
 
 // Decodes with the checked accessors of the JSON library, which throw if a
-// member is missing or has the wrong type. Returns nullopt in that case.
+// member is missing or has the wrong type, also if the text cannot be read.
+// Returns nullopt in that case.
 template <typename Value, typename Decoder>
 std::optional<Value> DecodeWith(std::string_view text, const Decoder& decoder) {
   try {
-    return decoder(json::parse(text));
+    const json value = ParseBounded(text);
+    return decoder(value);
   } catch (const json::exception&) {
     return std::nullopt;
   } catch (const InvalidMember&) {
--- a/src/settings/located_json.cc
+++ b/src/settings/located_json.cc
@@ -14,6 +14,9 @@
 using nlohmann::json;
 
 constexpr std::string_view kSeparators = " \t\r\n:,";
+// Each level stores its whole pointer, so the memory grows with the square of
+// the depth.
+constexpr std::size_t kMaxDepth = 64;
 
 std::string EscapePointer(const std::string& key) {
   std::string escaped;
@@ -154,6 +157,12 @@
   }
 
   bool OpenContainer(json value) {
+    if (levels_.size() == kMaxDepth) {
+      result_.findings.push_back({.location = LocationAt(cursor_ - 1),
+                                  .key = levels_.back().pointer,
+                                  .message = "is nested too deeply"});
+      return false;
+    }
     auto [inserted, pointer] = Insert(std::move(value), cursor_ - 1);
     levels_.push_back(
         {.value = inserted, .pointer = std::move(pointer), .key = ""});
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -715,5 +715,16 @@
   AssertNoViolation(rig);
 }
 
+// Guards against a settings file that takes all memory because it is nested
+// deeply.
+Test(node, deeply_nested_settings_are_a_finding) {
+  const std::string text =
+      R"({"instance":)" + std::string(1000, '[') + std::string(1000, ']') + "}";
+  const auto result = node::ParseNodeSettings(text, "n.json");
+  const auto* const findings = std::get_if<Findings>(&result);
+  cr_assert(findings != nullptr && !findings->empty());
+  cr_assert_str_eq(findings->front().message.c_str(), "is nested too deeply");
+}
+
 }  // namespace
 }  // namespace jaypick::testing
--- a/tests/peer_messages_test.cc
+++ b/tests/peer_messages_test.cc
@@ -156,5 +156,33 @@
   }
 }
 
+// Guards against deeply nested texts that exhaust the stack or the memory of a
+// process, or that are accepted.
+Test(peer_messages, deeply_nested_texts_are_rejected) {
+  const Ping ping{.sender = kFrom};
+  const StoreSnapshot snapshot{.delegations = {kDelegation}};
+  const ForwardedJob job{.spec = {.id = "5c0e7a21d94b36f8"}};
+  for (const std::size_t depth : {100U, 200'000U}) {
+    const std::string nested =
+        "{\"a\":" + std::string(depth, '[') + std::string(depth, ']') + ",";
+    const auto with_member = [&](const std::string& sound) {
+      return nested + sound.substr(1);
+    };
+    cr_expect(!DecodePing(with_member(Encode(ping))));
+    cr_expect(!DecodePingResponse(with_member(Encode(PingResponse()))));
+    cr_expect(!DecodeStoreSnapshot(with_member(Encode(snapshot))));
+    cr_expect(!DecodeDelegation(with_member(Encode(kDelegation))));
+    cr_expect(!DecodeDelegationOffer(with_member(Encode(kDelegation))));
+    cr_expect(
+        !DecodeDelegationResponse(with_member(Encode(DelegationResponse()))));
+    cr_expect(!DecodeLeaderRecord(with_member(Encode(kFrom))));
+    cr_expect(!DecodeForwardedJob(with_member(Encode(job))));
+    cr_expect(!DecodeForwardedJobResponse(
+        with_member(Encode(ForwardedJobResponse()))));
+    cr_expect(!DecodePing(std::string(depth, '[')));
+    cr_expect(!DecodeStoreSnapshot(std::string(depth, '[')));
+  }
+}
+
 }  // namespace
 }  // namespace jaypick::node
--- a/tests/platform_messages_test.cc
+++ b/tests/platform_messages_test.cc
@@ -360,6 +360,45 @@
   cr_expect(response.running.empty(), "2^32 + 2 is not run 2");
 }
 
+// Guards against deeply nested texts that exhaust the stack or the memory of a
+// process, or that are accepted.
+Test(platform_messages, deeply_nested_texts_are_rejected) {
+  for (const std::size_t depth : {100U, 200'000U}) {
+    for (const bool is_closed : {false, true}) {
+      for (const auto& [opening, closing] :
+           {std::pair("[", "]"), std::pair(R"({"a":)", "}")}) {
+        std::string nested;
+        for (std::size_t level = 0; level < depth; ++level) {
+          nested += opening;
+        }
+        nested += "1";
+        for (std::size_t level = 0; is_closed && level < depth; ++level) {
+          nested += closing;
+        }
+        std::string fault;
+        cr_expect(!Decode(nested));
+        cr_expect(!Decode(Entry("seq", nested)));
+        cr_expect(!Decode(Entry("capacity", nested)));
+        cr_expect_eq(RefusalOf(Post(nested)), 400);
+        cr_expect_eq(
+            RefusalOf(Post(R"({"spec":"x","best_effort":true,"extra":)" +
+                           nested + R"(,"steps":[{}]})")),
+            400);
+        cr_expect(!DecodeRouting(nested, fault));
+        cr_expect(!DecodeRouting(
+            R"({"version":7,"routes":[],"limits":)" + nested + "}", fault));
+        cr_expect(std::holds_alternative<control::NoResponse>(
+            DecodePollResponse(Reply(200, nested))));
+        cr_expect(std::holds_alternative<control::NoResponse>(
+            DecodePollResponse(Reply(200, R"({"running":)" + nested + "}"))));
+        DecodeRunResponse(Reply(409, nested));
+      }
+    }
+  }
+  // Brackets within strings are no nesting.
+  cr_expect(Decode(Entry("service", '"' + std::string(1000, '[') + R"(\"[")")));
+}
+
 // Guards against input that crashes a decoder. Applies random changes to valid
 // messages; the seed is fixed, so failures are reproducible.
 Test(platform_messages, decoders_survive_random_changes) {
