--- a/src/node/peer_messages.cc
+++ b/src/node/peer_messages.cc
@@ -173,11 +173,28 @@
   return delegations;
 }
 
+bool IsUtf8(const std::string& text) {
+  const auto is_ascii = [](char character) {
+    return static_cast<unsigned char>(character) < 0x80U;
+  };
+  if (std::ranges::all_of(text, is_ascii)) {
+    return true;
+  }
+  try {
+    json(text).dump();
+    return true;
+  } catch (const json::exception&) {
+    return false;
+  }
+}
+
+// A value with bytes that are not UTF-8 cannot be read. It is sent as an empty
+// text: with these bytes replaced, the receiver could read it.
 json ToJson(const MirroredItems& items) {
   json values = json::array();
   for (const auto& [key, item] : items) {
     values.push_back({{"key", key},
-                      {"value", item.value},
+                      {"value", IsUtf8(item.value) ? item.value : ""},
                       {"created", item.create_revision},
                       {"modified", item.mod_revision},
                       {"lease", item.lease}});
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -9,6 +9,7 @@
 // clang-format on
 
 #include <string>
+#include <vector>
 
 #include "control/fencing_token.h"
 #include "standins/relay.h"
@@ -695,6 +696,91 @@
   cr_assert_eq(rig.StatusOf(Id(0)), 200);
 }
 
+// Guards against one odd entry that ends the nodes which read the list or that
+// they get it from, or stops them from following it.
+Test(node, odd_entries_beside_sound_ones_stop_no_node) {
+  PlatformRig rig;
+  const std::string sound = rig.store.Value("servers/u1");
+  const auto with = [&](const std::string& member, const std::string& raw) {
+    return "{\"" + member + "\":" + raw + "," + sound.substr(1);
+  };
+  const auto replaced = [&](const char* member, const nlohmann::json& value) {
+    auto entry = nlohmann::json::parse(sound);
+    entry[member] = value;
+    return entry.dump();
+  };
+  const std::string brackets(200'000, '[');
+  const std::string closed = brackets + std::string(brackets.size(), ']');
+  const std::vector<std::string> odd = {
+      brackets,
+      closed,
+      with("other", brackets),
+      with("other", closed),
+      with("other", "1e999"),
+      with("other", "\"\xff\""),
+      "{\"service\":\"\xff",
+      std::string("\0", 1),
+      "null",
+      replaced("address", "127.0.0.1:0"),
+      replaced("address", "127.0.0.1:70000"),
+      replaced("address", "executor.example:80"),
+      replaced("address", 80),
+      replaced("service", nullptr),
+      replaced("state", "asleep"),
+      replaced("born", 8'999'999'999'999'999),
+      replaced("slots", -1),
+      replaced("capacity", 5)};
+  const auto write_all = [&] {
+    rig.store.Put("servers/", sound);
+    for (std::size_t number = 0; number < odd.size(); ++number) {
+      // Between the sound entries and behind them.
+      rig.store.Put("servers/u1-" + std::to_string(number), odd[number]);
+      rig.store.Put("servers/x-" + std::to_string(number), odd[number]);
+    }
+  };
+  write_all();
+  rig.AddNode();
+  rig.AddNode();
+  cr_assert(rig.WaitUntilReady(3));
+  const auto ready_upstreams = [&] {
+    return rig.node(static_cast<std::size_t>(rig.LeaderOf()))
+        .leadership_manager()
+        .Find("ghent")
+        ->ready_upstreams();
+  };
+  // Later changes are seen.
+  write_all();
+  rig.AddUpstream("u4");
+  cr_assert(rig.WaitUntilReady(4));
+  rig.store.Remove("servers/x-0");
+  rig.store.Put("servers/u2", odd.front());
+  cr_assert(rig.loop.RunUntil([&] { return ready_upstreams() == 3; }));
+  rig.upstreams[1]->Register("ready");
+  cr_assert(rig.WaitUntilReady(4));
+  // A node that reads the list from its peers.
+  const auto leader = static_cast<std::size_t>(rig.LeaderOf());
+  const std::size_t other = 1 - leader;
+  rig.store.SetDown(true);
+  rig.loop.RunFor(200);
+  rig.KillNode(other);
+  rig.loop.RunFor(700);
+  rig.RestartNode(other);
+  rig.loop.RunFor(1000);
+  rig.node(leader).RequestShutdown();
+  cr_assert(rig.loop.RunUntil(
+      [&] { return rig.LeaderOf() == static_cast<int>(other); }));
+  cr_assert(rig.WaitUntilReady(4));
+  rig.loop.RunFor(300);
+  cr_assert_eq(ready_upstreams(), 4);
+  for (int job = 0; job < 8; ++job) {
+    rig.Submit(other, Id(job), 1, "50");
+    rig.loop.RunFor(20);
+  }
+  cr_assert(rig.WaitForResponses());
+  cr_assert_eq(CountStatus(rig, 8, 200), 8);
+  AssertNoViolation(rig);
+}
+
 // Guards against tasks on an upstream of a service that no route names.
 Test(node, upstream_of_an_unknown_service_runs_nothing) {
   PlatformRig rig;
--- a/tests/peer_messages_test.cc
+++ b/tests/peer_messages_test.cc
@@ -4,6 +4,7 @@
 
 #include <criterion/criterion.h>
 
+#include <nlohmann/json.hpp>
 #include <string>
 
 namespace jaypick::node {
@@ -184,5 +185,29 @@
   }
 }
 
+// Guards against a value with bytes that cannot be read, which a peer could
+// read after these bytes were replaced on the way.
+Test(peer_messages, unreadable_values_are_unreadable_to_peers_too) {
+  const std::string value = "{\"service\":\"s\",\"version\":\"\xff\"}";
+  const MirroredItems items = {
+      {"servers/a", {.key = "servers/a", .value = value, .mod_revision = 9}},
+      {"servers/b",
+       {.key = "servers/b",
+        .value = "{\"zone\":\"\xc3\xa9\"}",
+        .mod_revision = 8}}};
+  const auto snapshot = DecodeStoreSnapshot(Encode(
+      StoreSnapshot{.mirrors = {{.prefix = "servers/", .items = items}}}));
+  const auto offer = DecodeDelegationOffer(
+      Encode(DelegationOffer{.delegation = kDelegation, .upstreams = items}));
+  cr_assert(snapshot && offer);
+  for (const MirroredItems& read :
+       {snapshot->mirrors.at(0).items, offer->upstreams}) {
+    cr_assert_eq(read.at("servers/a").mod_revision, 9);
+    cr_assert(!nlohmann::json::accept(read.at("servers/a").value), "%s",
+              read.at("servers/a").value.c_str());
+    cr_assert(read.at("servers/b") == items.at("servers/b"));
+  }
+}
+
 }  // namespace
 }  // namespace jaypick::node
