Count a crash against a task only if its run was there

Cause: when an upstream was lost, UpstreamSession::EndAllRuns gave all of its runs the outcome of a crash or of silence, also those whose start was never confirmed. Refused connections counted as a crash at once, and silence as one as soon as a later incarnation responded. Two such, or three losses of any kind, gave a task up. Related: a start without an answer that was missing at a later incarnation ended as `not_started`, although the earlier one may have run it, so it was not counted at all and its job could be answered as one that has not run.

Change: the verdict is separated from the limit of starts. - A run whose start was not confirmed ends as `start_unconfirmed` when its upstream is lost or has restarted. It counts as one that may have run. - An upstream that refuses connections until the lease has expired has likely crashed. A later incarnation that responds makes it a crash, the same one a recovery. Silence and unconfirmed starts never become crashes: after a cut, the run's lease has expired before the upstream restarts. - Two crashes that are certain give the task up, and its job is shown as failed. While two are likely, or three upstreams were lost in any way, the task is not started, and its job is answered with 504 (runs_lost). So no task is started more often than before, whether or not its starts are confirmed. - Pings mark likely crashes by an additional member; instances of earlier versions read them as silent losses, which they treat as crashes once a later incarnation responds.

--- a/src/control/upstream_session.cc
+++ b/src/control/upstream_session.cc
@@ -115,6 +115,7 @@
                            .token = token_,
                            .lease_expiry_ms = LeaseExpiry(now)};
   ExtendLeaseBound(now);
+  runs_[run].started_unix_ms = started_unix_ms_;
   starts_[start.request_number] = {.run = run, .token = token_};
   outputs.push_back(start);
 }
@@ -177,7 +178,7 @@
   if (status == ResponseStatus::kOtherIncarnation) {
     // Another incarnation uses the address; the service discovery will report
     // it.
-    EndAllRuns(RunOutcome::kUpstreamCrashed, "other_life", outputs);
+    EndAllRuns(RunOutcome::kUpstreamLikelyCrashed, "other_life", outputs);
     ChangeState(State::kLost, "other_life", outputs);
     next_recovery_poll_ = now + options_.lost_poll_interval;
     return false;
@@ -359,7 +360,7 @@
   // A recovery poll carries a higher token than all requests before it, so runs
   // that are missing from its response cannot start any more.
   const bool is_complete = poll.is_recovery && poll.token == token_;
-  std::vector<std::pair<RunId, bool>> missing;
+  std::vector<std::pair<RunId, RunOutcome>> missing;
   for (auto& [run, state] : runs_) {
     if (running.contains(run)) {
       state.is_confirmed = true;
@@ -369,13 +370,11 @@
     const bool was_running =
         state.is_confirmed && state.confirmed_at <= poll.sent;
     if (was_running || is_complete) {
-      missing.emplace_back(run, state.is_confirmed);
+      missing.emplace_back(run, OutcomeOfMissing(state));
     }
   }
-  for (const auto& [run, was_confirmed] : missing) {
-    EndRun(run,
-           was_confirmed ? RunOutcome::kLeaseExpired : RunOutcome::kNotStarted,
-           "not_running", outputs);
+  for (const auto& [run, outcome] : missing) {
+    EndRun(run, outcome, "not_running", outputs);
   }
   std::erase_if(stopping_, [&](const auto& entry) {
     return !runs_.contains(entry.first) && !running.contains(entry.first);
@@ -399,6 +398,15 @@
   }
 }
 
+RunOutcome UpstreamSession::OutcomeOfMissing(const Run& run) const {
+  if (run.is_confirmed) {
+    return RunOutcome::kLeaseExpired;
+  }
+  return run.started_unix_ms == started_unix_ms_
+             ? RunOutcome::kNotStarted
+             : RunOutcome::kStartUnconfirmed;
+}
+
 // Nobody waits here for runs of an earlier leader, and their jobs may be
 // submitted again.
 void UpstreamSession::StopRunsOfEarlierLeaders(TimePoint now,
@@ -491,8 +499,12 @@
   stops_.clear();
   stopping_.clear();
   poll_.reset();
+  const bool is_lost = schedule::IsUpstreamLoss(outcome);
   for (const auto& [run, state] : std::exchange(runs_, {})) {
-    outputs.push_back(RunEnded{.run = run, .end = outcome, .cause = cause});
+    const RunOutcome end = is_lost && !state.is_confirmed
+                               ? RunOutcome::kStartUnconfirmed
+                               : outcome;
+    outputs.push_back(RunEnded{.run = run, .end = end, .cause = cause});
   }
 }
 
@@ -514,7 +526,7 @@
       if (now >= lease_bound_) {
         const std::string_view cause =
             was_refused_ ? "refused_beyond_lease" : "silent_beyond_lease";
-        EndAllRuns(was_refused_ ? RunOutcome::kUpstreamCrashed
+        EndAllRuns(was_refused_ ? RunOutcome::kUpstreamLikelyCrashed
                                 : RunOutcome::kUpstreamSilent,
                    cause, outputs);
         ChangeState(State::kLost, cause, outputs);
--- a/src/control/upstream_session.h
+++ b/src/control/upstream_session.h
@@ -253,6 +253,8 @@
   struct Run {
     bool is_confirmed = false;
     TimePoint confirmed_at;
+    // The incarnation that the start request was sent to.
+    std::optional<std::int64_t> started_unix_ms;
   };
 
   struct PendingPoll {
@@ -315,6 +317,7 @@
               std::string_view cause,
               SessionOutputs& outputs);
   void EndUnsentRuns(SessionOutputs& outputs);
+  // Runs whose start was not confirmed end as such if the upstream is lost.
   void EndAllRuns(RunOutcome outcome,
                   std::string_view cause,
                   SessionOutputs& outputs);
@@ -322,6 +325,8 @@
                  const PendingPoll& poll,
                  const PollResponse& response,
                  SessionOutputs& outputs);
+  // How a run ended that no longer can run, and whose end is not reported.
+  RunOutcome OutcomeOfMissing(const Run& run) const;
   void StopRunsOfEarlierLeaders(TimePoint now,
                                 const PollResponse& response,
                                 SessionOutputs& outputs);
--- a/src/node/domain_leader.cc
+++ b/src/node/domain_leader.cc
@@ -384,6 +384,7 @@
               {"upstream", scheduler_.fleet().upstream(upstream).id},
               {"domain", options_.failure_domain},
               {"cause", std::string(output.cause)},
+              {"outcome", std::string(schedule::ToString(output.end))},
               {"runs_there", std::to_string(scheduler_.runs_on(upstream))}});
   }
   schedule::Actions actions;
--- a/src/node/peer_messages.cc
+++ b/src/node/peer_messages.cc
@@ -1,6 +1,7 @@
 #include "node/peer_messages.h"
 
 #include <algorithm>
+#include <array>
 #include <exception>
 #include <utility>
 
@@ -230,26 +231,44 @@
           .leader_revision = value.at("leaders")};
 }
 
+// Nodes of earlier versions know the causes 0 to 2, and take a loss of cause 0
+// for a crash once a later incarnation responds.
+constexpr std::array kLossCauses = {schedule::LossCause::kSilent,
+                                    schedule::LossCause::kCrashed,
+                                    schedule::LossCause::kRecovered};
+
 json ToJson(const schedule::UpstreamLoss& loss) {
-  return {{"job", loss.task.job},
-          {"step", loss.task.step},
-          {"index", loss.task.index},
-          {"upstream", loss.upstream.id},
-          {"started_ms", loss.upstream.started_unix_ms},
-          {"cause", static_cast<int>(loss.cause)},
-          {"age_us", loss.age.count()}};
+  json value = {{"job", loss.task.job},
+                {"step", loss.task.step},
+                {"index", loss.task.index},
+                {"upstream", loss.upstream.id},
+                {"started_ms", loss.upstream.started_unix_ms},
+                {"cause", 0},
+                {"age_us", loss.age.count()}};
+  if (loss.cause == schedule::LossCause::kLikelyCrashed) {
+    value["likely_crashed"] = true;
+  } else {
+    value["cause"] =
+        std::ranges::find(kLossCauses, loss.cause) - kLossCauses.begin();
+  }
+  return value;
 }
 
 schedule::UpstreamLoss LossFrom(const json& value) {
-  const int cause =
+  const auto number = static_cast<std::size_t>(
       std::clamp(value.at("cause").get<int>(), 0,
-                 static_cast<int>(schedule::LossCause::kRecovered));
+                 static_cast<int>(kLossCauses.size()) - 1));
+  schedule::LossCause cause = kLossCauses.at(number);
+  if (cause == schedule::LossCause::kSilent &&
+      value.value("likely_crashed", false)) {
+    cause = schedule::LossCause::kLikelyCrashed;
+  }
   return {.task = {.job = value.at("job"),
                    .step = value.at("step"),
                    .index = value.at("index")},
           .upstream = {.id = value.at("upstream"),
                        .started_unix_ms = value.at("started_ms")},
-          .cause = static_cast<schedule::LossCause>(cause),
+          .cause = cause,
           .age = Duration(value.at("age_us"))};
 }
 
--- a/src/schedule/crash_history.cc
+++ b/src/schedule/crash_history.cc
@@ -19,10 +19,14 @@
   const auto first = tasks_by_upstream_.lower_bound({.id = upstream.id});
   for (auto it = first; it != tasks_by_upstream_.end() && it->first <= upstream;
        ++it) {
-    const LossCause cause =
-        it->first == upstream ? LossCause::kRecovered : LossCause::kCrashed;
+    const bool has_recovered = it->first == upstream;
     for (const TaskId& task : it->second) {
-      changed.emplace_back(Key{task, it->first}, cause);
+      const Key key{task, it->first};
+      if (has_recovered) {
+        changed.emplace_back(key, LossCause::kRecovered);
+      } else if (losses_.at(key).cause == LossCause::kLikelyCrashed) {
+        changed.emplace_back(key, LossCause::kCrashed);
+      }
     }
   }
   for (const auto& [key, cause] : changed) {
@@ -35,6 +39,8 @@
   for (auto it = losses_.lower_bound({task, {}});
        it != losses_.end() && it->first.first == task; ++it) {
     count.silent += it->second.cause == LossCause::kSilent ? 1 : 0;
+    count.likely_crashed +=
+        it->second.cause == LossCause::kLikelyCrashed ? 1 : 0;
     count.crashed += it->second.cause == LossCause::kCrashed ? 1 : 0;
   }
   return count;
--- a/src/schedule/crash_history.h
+++ b/src/schedule/crash_history.h
@@ -32,9 +32,12 @@
 // Why a run was lost, as far as is known. A later value replaces an earlier
 // one.
 enum class LossCause : std::uint8_t {
-  // The upstream has not responded since.
+  // Nothing shows that the upstream's process ended during the run.
   kSilent,
-  // The upstream's process has ended.
+  // The upstream's process has probably ended during the run. It has if a later
+  // incarnation responds.
+  kLikelyCrashed,
+  // The upstream's process has ended during the run.
   kCrashed,
   // The upstream responded again, so the task did not crash it.
   kRecovered,
@@ -54,6 +57,7 @@
 // Number of upstreams that were lost under one task and have not recovered.
 struct LossCount {
   std::uint32_t silent = 0;
+  std::uint32_t likely_crashed = 0;
   std::uint32_t crashed = 0;
 
   friend auto operator<=>(const LossCount&, const LossCount&) = default;
@@ -81,8 +85,9 @@
               const UpstreamIncarnation& upstream,
               LossCause cause);
 
-  // An upstream has responded. Losses of this incarnation were no crashes;
-  // those of earlier ones were.
+  // An upstream has responded. Losses of this incarnation were no crashes. Of
+  // the losses of earlier ones, those that looked like crashes were: a cut ends
+  // with a response of the same incarnation.
   void OnResponse(const UpstreamIncarnation& upstream);
 
   LossCount LossesOf(const TaskId& task) const;
--- a/src/schedule/messages.cc
+++ b/src/schedule/messages.cc
@@ -39,8 +39,12 @@
       return "stopped";
     case RunOutcome::kLeaseExpired:
       return "lapsed";
+    case RunOutcome::kStartUnconfirmed:
+      return "start_unconfirmed";
     case RunOutcome::kUpstreamSilent:
       return "upstream_silent";
+    case RunOutcome::kUpstreamLikelyCrashed:
+      return "upstream_likely_crashed";
     case RunOutcome::kUpstreamCrashed:
       return "upstream_crashed";
     case RunOutcome::kTakenOver:
@@ -60,7 +64,9 @@
 }
 
 bool IsUpstreamLoss(RunOutcome outcome) {
-  return outcome == RunOutcome::kUpstreamSilent ||
+  return outcome == RunOutcome::kStartUnconfirmed ||
+         outcome == RunOutcome::kUpstreamSilent ||
+         outcome == RunOutcome::kUpstreamLikelyCrashed ||
          outcome == RunOutcome::kUpstreamCrashed;
 }
 
--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -44,12 +44,20 @@
   // Stopped at the request of the scheduler.
   kStopped,
   // The lease expired at an upstream that still responds. For this outcome and
-  // the next two, the run is certainly no longer active.
+  // the next four, the run is certainly no longer active.
   kLeaseExpired,
-  // The upstream did not respond until the lease had expired.
+  // The upstream was lost, or has restarted, before it had confirmed the start.
+  // The run may have started.
+  kStartUnconfirmed,
+  // The upstream confirmed the start, but did not respond until the lease had
+  // expired.
   kUpstreamSilent,
-  // The upstream's process has ended: another incarnation responds, or the
-  // upstream refused connections until the lease had expired.
+  // The upstream confirmed the start, and its process has probably ended: it
+  // refused connections until the lease had expired, or its address belongs to
+  // another upstream. A cut may look the same.
+  kUpstreamLikelyCrashed,
+  // The upstream confirmed the start, and another incarnation of it has
+  // responded since.
   kUpstreamCrashed,
   // Another leader has taken over the upstream. The run is stopped there, or
   // continues until its lease expires.
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -40,8 +40,9 @@
   Duration straggler_check_interval = std::chrono::milliseconds(25);
   // Maximum number of lost or stopped runs of one task; one more fails its job.
   std::uint32_t max_extra_runs = 3;
-  // A task fails its job if this many upstreams have crashed under it, or if
-  // this many were lost, including those that only fell silent.
+  // A task fails its job if this many upstreams have crashed under it. It is
+  // not started again while as many have probably crashed, or while this many
+  // were lost, including those that only fell silent.
   std::uint32_t max_crashes = 2;
   std::uint32_t max_upstreams_lost = 3;
   // Shared by the schedulers of one instance. If null, the scheduler keeps its
@@ -211,15 +212,16 @@
                       const StepState& step) const;
   void Unblock(Job& job);
   // Marks tasks that may have crashed an upstream, also in earlier submissions
-  // of the job. Returns true if one of them is given up.
-  bool MarkSuspects(Job& job);
+  // of the job. Returns why the job cannot be run, if so.
+  std::optional<RefusalReason> MarkSuspects(Job& job);
   // Records an upstream that was lost during the run.
   void RecordLoss(TimePoint now,
                   Job& job,
                   const Running& run,
                   RunOutcome outcome);
-  // Returns true if too many upstreams were lost under the task.
-  bool IsGivenUp(const TaskId& task) const;
+  // Returns why a task under which upstreams were lost is not started again, or
+  // nullopt if it may be. It has failed only if the crashes are certain.
+  std::optional<RefusalReason> CheckLosses(const TaskId& task) const;
   void Retry(TimePoint now,
              Job& job,
              std::uint32_t step,
--- a/src/schedule/scheduler_admission.cc
+++ b/src/schedule/scheduler_admission.cc
@@ -123,9 +123,9 @@
 
 void Scheduler::Admit(TimePoint now, Job& job, Actions& actions) {
   served_fractions_.OnOffered(job.job_class, job.work, now);
-  if (MarkSuspects(job)) {
-    Trace(now, job, "given_up", "upstreams crashed in earlier submissions");
-    EndJob(now, job, Failed{.reason = RefusalReason::kTaskFailed}, actions);
+  if (const auto reason = MarkSuspects(job)) {
+    Trace(now, job, "given_up", "upstreams were lost in earlier submissions");
+    EndJob(now, job, Failed{.reason = *reason}, actions);
     return;
   }
   if (const auto reason = CheckOffered(now, job)) {
--- a/src/schedule/scheduler_retries.cc
+++ b/src/schedule/scheduler_retries.cc
@@ -1,13 +1,28 @@
 // Retries of runs that failed, were lost, or take unusually long.
+#include <optional>
 #include <utility>
 #include <vector>
 
 #include "schedule/scheduler.h"
 
 namespace jaypick::schedule {
+namespace {
 
-bool Scheduler::MarkSuspects(Job& job) {
-  bool is_given_up = false;
+LossCause LossCauseOf(RunOutcome outcome) {
+  switch (outcome) {
+    case RunOutcome::kUpstreamCrashed:
+      return LossCause::kCrashed;
+    case RunOutcome::kUpstreamLikelyCrashed:
+      return LossCause::kLikelyCrashed;
+    default:
+      return LossCause::kSilent;
+  }
+}
+
+}  // namespace
+
+std::optional<RefusalReason> Scheduler::MarkSuspects(Job& job) {
+  std::optional<RefusalReason> reason;
   for (const TaskId& suspect :
        options_.crash_history->SuspectsOf(job.spec.id)) {
     if (suspect.step >= job.steps.size() ||
@@ -15,9 +30,12 @@
       continue;
     }
     job.steps[suspect.step].tasks[suspect.index].is_suspected = true;
-    is_given_up = is_given_up || IsGivenUp(suspect);
+    if (reason != RefusalReason::kTaskFailed) {
+      const auto reason_of_task = CheckLosses(suspect);
+      reason = reason_of_task ? reason_of_task : reason;
+    }
   }
-  return is_given_up;
+  return reason;
 }
 
 // While no upstream is ready, this instance is probably cut off itself, and
@@ -26,8 +44,8 @@
                            Job& job,
                            const Running& run,
                            RunOutcome outcome) {
-  const bool is_crash = outcome == RunOutcome::kUpstreamCrashed;
-  if (!is_crash && !fleet_.IsAnyReady()) {
+  const LossCause cause = LossCauseOf(outcome);
+  if (cause == LossCause::kSilent && !fleet_.IsAnyReady()) {
     return;
   }
   const TaskId task{.job = job.spec.id, .step = run.step, .index = run.index};
@@ -35,18 +53,26 @@
       now, task,
       {.id = fleet_.upstream(run.upstream).id,
        .started_unix_ms = run.upstream_started_unix_ms},
-      is_crash ? LossCause::kCrashed : LossCause::kSilent);
+      cause);
   job.steps[run.step].tasks[run.index].is_suspected = true;
   const LossCount losses = options_.crash_history->LossesOf(task);
   Trace(now, job, "suspected",
         "crashed=" + std::to_string(losses.crashed) +
+            " likely_crashed=" + std::to_string(losses.likely_crashed) +
             " silent=" + std::to_string(losses.silent));
 }
 
-bool Scheduler::IsGivenUp(const TaskId& task) const {
+std::optional<RefusalReason> Scheduler::CheckLosses(const TaskId& task) const {
   const LossCount losses = options_.crash_history->LossesOf(task);
-  return losses.crashed >= options_.max_crashes ||
-         losses.crashed + losses.silent >= options_.max_upstreams_lost;
+  const std::uint32_t crashes = losses.crashed + losses.likely_crashed;
+  if (losses.crashed >= options_.max_crashes) {
+    return RefusalReason::kTaskFailed;
+  }
+  if (crashes >= options_.max_crashes ||
+      crashes + losses.silent >= options_.max_upstreams_lost) {
+    return RefusalReason::kRunsLost;
+  }
+  return std::nullopt;
 }
 
 void Scheduler::Retry(TimePoint now,
@@ -73,13 +99,18 @@
     Fail(now, job, RefusalReason::kCommandLost, actions);
     return;
   }
-  const bool is_given_up =
-      task.is_suspected &&
-      IsGivenUp({.job = job.spec.id, .step = step_number, .index = index});
-  if (task.failures >= job.spec.kind.max_attempts || is_given_up) {
+  if (task.failures >= job.spec.kind.max_attempts) {
     Fail(now, job, RefusalReason::kTaskFailed, actions);
     return;
   }
+  if (task.is_suspected) {
+    const auto reason =
+        CheckLosses({.job = job.spec.id, .step = step_number, .index = index});
+    if (reason) {
+      Fail(now, job, *reason, actions);
+      return;
+    }
+  }
   if (task.lost > options_.max_extra_runs || !CanRetryInTime(now, job, step)) {
     Fail(now, job, RefusalReason::kRunsLost, actions);
     return;
--- a/tests/peer_messages_test.cc
+++ b/tests/peer_messages_test.cc
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 
 namespace jaypick::node {
 namespace {
@@ -115,6 +116,26 @@
   cr_assert(DecodeDelegationOffer(Encode(whole)) == whole);
 }
 
+// Guards against a cause of a loss that changes on its way to another node, or
+// that a node of an earlier version takes for a certain crash.
+Test(peer_messages, causes_of_losses_are_kept) {
+  using schedule::LossCause;
+  for (const auto& [cause, number] : {std::pair{LossCause::kSilent, 0},
+                                      std::pair{LossCause::kLikelyCrashed, 0},
+                                      std::pair{LossCause::kCrashed, 1},
+                                      std::pair{LossCause::kRecovered, 2}}) {
+    const PingResponse response{
+        .losses = {{.task = {.job = "5c0e7a21d94b36f8"}, .cause = cause}}};
+    const std::string text = Encode(response);
+    cr_assert(
+        text.find("\"cause\":" + std::to_string(number)) != std::string::npos,
+        "%s", text.c_str());
+    const auto read = DecodePingResponse(text);
+    cr_assert(read.has_value());
+    cr_assert(read->losses == response.losses, "%s", text.c_str());
+  }
+}
+
 // Guards against malformed input that crashes a node or makes it lead a domain.
 Test(peer_messages, malformed_texts_are_rejected) {
   const std::string whole = Encode(kDelegation);
