Record a loss for the incarnation of the upstream that responded

What callers could see: a job with sound tasks is answered as failed or as runs_lost, because cuts of upstreams count as crashes. Cause: the scheduler recorded a lost run under the incarnation in the list of upstreams. For up to a heartbeat after a restart the list shows the earlier one, while the session already works with the new one. When that one was cut off and responded again, its response passed for that of a later incarnation, which shows that the earlier crashed. A restart that a ready session noticed was not told to the scheduler at all. Evidence: scheduler/losses_count_for_the_incarnation_that_responded fails on the code before with "failed:runs_lost", as two cuts count as two crashes. Change: the fleet keeps the incarnation that responded last, and losses are recorded under it; the domain leader reports a restart also if the session stays ready. Why it works: starts are sent only to upstreams that have responded. What remains: a start in flight while its upstream restarts is recorded under the earlier incarnation.

--- a/src/node/domain_leader.cc
+++ b/src/node/domain_leader.cc
@@ -311,6 +311,21 @@
   }
 }
 
+bool DomainLeader::HasRestarted(std::uint32_t upstream) const {
+  const UpstreamSession& session = sessions_.at(upstream);
+  return session.is_ready() && session.started_unix_ms() &&
+         *session.started_unix_ms() != scheduler_.fleet().incarnation(upstream);
+}
+
+void DomainLeader::ReportResponse(std::uint32_t upstream) {
+  const auto session = sessions_.find(upstream);
+  if (session != sessions_.end() && session->second.started_unix_ms()) {
+    scheduler_.OnUpstreamResponse(
+        {.id = scheduler_.fleet().upstream(upstream).id,
+         .started_unix_ms = *session->second.started_unix_ms()});
+  }
+}
+
 template <typename Response>
 std::function<void(const Response&)> DomainLeader::ResponseHandler(
     std::uint32_t upstream,
@@ -327,6 +342,9 @@
     const TimePoint now = runtime_.Now();
     SessionOutputs outputs;
     (sessions_.at(upstream).*handler)(now, request_number, response, outputs);
+    if (HasRestarted(upstream)) {
+      ReportResponse(upstream);
+    }
     pending_outputs_.emplace_back(upstream, std::move(outputs));
     ProcessPending(now);
   };
@@ -396,12 +414,8 @@
                           std::uint32_t upstream,
                           control::ReadinessChanged& output) {
   scheduler_.fleet().SetReady(upstream, output.is_ready, now);
-  const auto session = sessions_.find(upstream);
-  if (output.is_ready && session != sessions_.end() &&
-      session->second.started_unix_ms()) {
-    scheduler_.OnUpstreamResponse(
-        {.id = scheduler_.fleet().upstream(upstream).id,
-         .started_unix_ms = *session->second.started_unix_ms()});
+  if (output.is_ready) {
+    ReportResponse(upstream);
   }
   LogEvent(output.is_ready ? LogLevel::kInfo : LogLevel::kWarning,
            output.is_ready ? "upstream_ready" : "upstream_in_doubt",
--- a/src/node/domain_leader.h
+++ b/src/node/domain_leader.h
@@ -129,6 +129,10 @@
   void Handle(TimePoint now,
               std::uint32_t upstream,
               control::SessionFenced& output);
+  // The session works with another incarnation than the scheduler knows.
+  bool HasRestarted(std::uint32_t upstream) const;
+  // Tells the scheduler which incarnation of the upstream responds.
+  void ReportResponse(std::uint32_t upstream);
   // Returns a callback that passes the response of an upstream to its session.
   template <typename Response>
   std::function<void(const Response&)> ResponseHandler(
--- a/src/schedule/fleet.cc
+++ b/src/schedule/fleet.cc
@@ -89,6 +89,15 @@
   state.is_ready = is_ready;
 }
 
+void Fleet::SetIncarnation(std::uint32_t number, std::int64_t started_unix_ms) {
+  states_[number].responded_unix_ms = started_unix_ms;
+}
+
+std::int64_t Fleet::incarnation(std::uint32_t number) const {
+  const State& state = states_[number];
+  return state.responded_unix_ms.value_or(state.upstream.started_unix_ms);
+}
+
 std::optional<std::uint32_t> Fleet::Find(const std::string& id) const {
   const auto it = by_id_.find(id);
   return it == by_id_.end() ? std::nullopt : std::optional(it->second);
--- a/src/schedule/fleet.h
+++ b/src/schedule/fleet.h
@@ -82,6 +82,12 @@
   // Sets whether requests can be sent to the upstream now.
   void SetReady(std::uint32_t number, bool is_ready, TimePoint now);
 
+  // The incarnation that responded last; the list may still show an earlier
+  // one.
+  void SetIncarnation(std::uint32_t number, std::int64_t started_unix_ms);
+  // The listed incarnation if none has responded.
+  std::int64_t incarnation(std::uint32_t number) const;
+
   std::optional<std::uint32_t> Find(const std::string& id) const;
   const Upstream& upstream(std::uint32_t number) const;
   bool is_ready(std::uint32_t number) const;
@@ -149,6 +155,7 @@
  private:
   struct State {
     Upstream upstream;
+    std::optional<std::int64_t> responded_unix_ms;
     bool is_listed = false;
     bool is_ready = false;
     bool is_isolated = false;
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -254,13 +254,12 @@
   ++job.steps[step].placed[upstream];
   const RunId run{
       .job = job.spec.id, .step = step, .index = index, .run = task.runs};
-  running_[run] = {
-      .job = &job,
-      .step = step,
-      .index = index,
-      .upstream = upstream,
-      .upstream_started_unix_ms = fleet_.upstream(upstream).started_unix_ms,
-      .is_isolating = task.is_suspected};
+  running_[run] = {.job = &job,
+                   .step = step,
+                   .index = index,
+                   .upstream = upstream,
+                   .upstream_started_unix_ms = fleet_.incarnation(upstream),
+                   .is_isolating = task.is_suspected};
   if (job.waiting == 0) {
     job.unlink();
   }
@@ -390,6 +389,9 @@
 }
 
 void Scheduler::OnUpstreamResponse(const UpstreamIncarnation& upstream) {
+  if (const auto number = fleet_.Find(upstream.id)) {
+    fleet_.SetIncarnation(*number, upstream.started_unix_ms);
+  }
   options_.crash_history->OnResponse(upstream);
 }
 
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -117,7 +117,8 @@
                   RunOutcome outcome,
                   Actions& actions);
 
-  // An upstream responds that had not responded before.
+  // An upstream responds that had not responded before, or another incarnation
+  // of it.
   void OnUpstreamResponse(const UpstreamIncarnation& upstream);
 
   // This process was suspended. The run times of the current runs are not used
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -217,6 +217,34 @@
   }
 }
 
+// Guards against a cut that counts as a crash because the list of upstreams
+// still showed the incarnation before the one that ran the task.
+Test(scheduler, losses_count_for_the_incarnation_that_responded) {
+  SchedulerRig rig;
+  for (const char* const id : {"u1", "u2", "u3"}) {
+    rig.AddUpstream(id, 16000);
+  }
+  const auto respond = [&] {
+    for (const char* const id : {"u1", "u2", "u3"}) {
+      rig.scheduler().OnUpstreamResponse({.id = id, .started_unix_ms = 7});
+    }
+  };
+  respond();
+  rig.plan = [](const RunId& run, std::uint32_t) {
+    return RunPlan{.takes = milliseconds(20),
+                   .end = run.run <= 2 ? RunOutcome::kUpstreamLikelyCrashed
+                                       : RunOutcome::kSucceeded};
+  };
+  rig.Submit("a", Kind(3), 1, 6800, milliseconds(20));
+  // The cut of the first upstream ends before the second run does.
+  rig.RunFor(milliseconds(30));
+  cr_assert_eq(rig.starts.size(), 2);
+  respond();
+  rig.RunFor(milliseconds(100));
+  cr_assert_eq(rig.CountCompleted("a"), 1, "%s",
+               Describe(rig.results.at("a").outcome).c_str());
+}
+
 // Guards against runs of sound tasks that are lost beside one that crashes its
 // upstream each time: on bara-jp, 39 crashes took 164 runs with them.
 Test(scheduler, suspected_task_runs_alone) {
