Let responses of an earlier incarnation end no run of the present one

A caller could see the work of a task done twice: a task was started again while its run went on.

Cause: a session took any other `born` in a response for a restart, also that of an earlier incarnation, whose response was read late. It ended the confirmed runs as crashed, and believed the earlier incarnation and its clock. Stops in flight outlived a restart on both paths (a response and a list entry), starts that on the path by a response.

Change: when another incarnation responds, the session drops all its requests in flight and polls with a raised token. The poll tells which unconfirmed starts were carried out, and stops are sent again. The runs of the earlier incarnation end at once if a start or a stop shows the restart. If a poll shows it, those end that a recovery poll does not list. An earlier `born`, which a clock set back may cause, counts only in the response to a recovery poll.

Why it works: all requests that are left were sent after the present incarnation had responded, so that an earlier one can't have received them. The order does not rest on the time of day.

--- a/src/control/upstream_session.cc
+++ b/src/control/upstream_session.cc
@@ -174,6 +174,7 @@
                                      const UpstreamTimestamps& timestamps,
                                      ResponseStatus status,
                                      std::uint64_t token,
+                                     const PendingPoll* poll,
                                      SessionOutputs& outputs) {
   if (status == ResponseStatus::kOtherIncarnation) {
     // Another incarnation uses the address; the service discovery will report
@@ -185,8 +186,18 @@
   }
   const bool has_restarted = timestamps.started_unix_ms && started_unix_ms_ &&
                              *timestamps.started_unix_ms != *started_unix_ms_;
+  // An earlier start time means a restart only if the upstream's time of day
+  // was set back, which a poll on another connection confirms.
+  if (has_restarted && *timestamps.started_unix_ms < *started_unix_ms_ &&
+      (poll == nullptr || !poll->is_recovery)) {
+    EnterRecovery(now, "earlier_incarnation", outputs);
+    return false;
+  }
   if (has_restarted) {
-    EndRunsOfEarlierIncarnation("restarted", outputs);
+    ForgetIncarnation();
+    if (poll == nullptr) {
+      EndRunsOfEarlierIncarnation("restarted", outputs);
+    }
   }
   if (status == ResponseStatus::kFenced && token >= token_) {
     EndAllRuns(RunOutcome::kTakenOver, "fenced", outputs);
@@ -201,23 +212,38 @@
     clock_ms_ = timestamps.clock_ms;
     clock_read_ = now;
   }
+  if (has_restarted && IsResponding()) {
+    EnterRecovery(now, "restarted", outputs);
+    return poll == nullptr;
+  }
   return true;
 }
 
+void UpstreamSession::ForgetIncarnation() {
+  for (auto& [run, state] : runs_) {
+    state.is_of_earlier_incarnation = state.is_confirmed;
+  }
+  // Responses to these requests may be those of the earlier incarnation, and
+  // may not say so.
+  starts_.clear();
+  stops_.clear();
+  poll_.reset();
+  acknowledged_ = 0;
+  acknowledged_sent_ = 0;
+  clock_ms_.reset();
+}
+
 void UpstreamSession::EndRunsOfEarlierIncarnation(std::string_view cause,
                                                   SessionOutputs& outputs) {
-  std::vector<RunId> confirmed_runs;
+  std::vector<RunId> earlier_runs;
   for (const auto& [run, state] : runs_) {
-    if (state.is_confirmed) {
-      confirmed_runs.push_back(run);
+    if (state.is_of_earlier_incarnation) {
+      earlier_runs.push_back(run);
     }
   }
-  for (const RunId& run : confirmed_runs) {
+  for (const RunId& run : earlier_runs) {
     EndRun(run, RunOutcome::kUpstreamCrashed, cause, outputs);
   }
-  poll_.reset();
-  acknowledged_ = 0;
-  acknowledged_sent_ = 0;
 }
 
 void UpstreamSession::OnUpstreamRestarted(TimePoint now,
@@ -227,11 +253,10 @@
       (started_unix_ms_ && *started_unix_ms_ >= started_unix_ms)) {
     return;
   }
+  ForgetIncarnation();
   EndRunsOfEarlierIncarnation("restarted", outputs);
   ChangeState(State::kTakingOver, "restarted", outputs);
   started_unix_ms_ = started_unix_ms;
-  clock_ms_.reset();
-  starts_.clear();
   RaiseToken();
   SendPoll(now, Duration(0), false, true, outputs);
 }
@@ -257,7 +282,7 @@
   }
   const auto& run_response = std::get<RunResponse>(response);
   if (!AcceptResponse(now, run_response.stamp, run_response.result,
-                      request.token, outputs)) {
+                      request.token, nullptr, outputs)) {
     return;
   }
   switch (run_response.result) {
@@ -306,7 +331,7 @@
   }
   const auto& run_response = std::get<RunResponse>(response);
   if (AcceptResponse(now, run_response.stamp, run_response.result,
-                     request.token, outputs)) {
+                     request.token, nullptr, outputs)) {
     ContinuePolling(now, outputs);
   }
 }
@@ -335,7 +360,7 @@
     return;
   }
   if (!AcceptResponse(now, poll_response->stamp, poll_response->result,
-                      poll.token, outputs)) {
+                      poll.token, &poll, outputs)) {
     return;
   }
   if (poll_response->result != ResponseStatus::kDone) {
@@ -364,6 +389,7 @@
   for (auto& [run, state] : runs_) {
     if (running.contains(run)) {
       state.is_confirmed = true;
+      state.is_of_earlier_incarnation = false;
       state.confirmed_at = std::min(state.confirmed_at, now);
       continue;
     }
@@ -373,6 +399,9 @@
       missing.emplace_back(run, OutcomeOfMissing(state));
     }
   }
+  if (is_complete) {
+    EndRunsOfEarlierIncarnation("restarted", outputs);
+  }
   for (const auto& [run, outcome] : missing) {
     EndRun(run, outcome, "not_running", outputs);
   }
--- a/src/control/upstream_session.h
+++ b/src/control/upstream_session.h
@@ -252,6 +252,8 @@
 
   struct Run {
     bool is_confirmed = false;
+    // Confirmed before the present incarnation responded first.
+    bool is_of_earlier_incarnation = false;
     TimePoint confirmed_at;
     // The incarnation that the start request was sent to.
     std::optional<std::int64_t> started_unix_ms;
@@ -301,15 +303,20 @@
                    std::string_view cause,
                    SessionOutputs& outputs);
   // Records the upstream's clock and incarnation, and ends the runs of an
-  // earlier incarnation. Returns false if the response shows that another
-  // incarnation uses the address or that another leader has taken over.
+  // earlier incarnation. `poll` is the poll that the response belongs to, or
+  // null. Returns false if the response shows that another incarnation uses the
+  // address or that another leader has taken over, or if the state of the runs
+  // is known only after another poll.
   bool AcceptResponse(TimePoint now,
                       const UpstreamTimestamps& timestamps,
                       ResponseStatus status,
                       std::uint64_t token,
+                      const PendingPoll* poll,
                       SessionOutputs& outputs);
-  // Ends the runs that were confirmed at an earlier incarnation. Start requests
-  // in flight may still reach the new one.
+  // Drops what is known of the present incarnation, and all requests that were
+  // sent before the next one responded. Thus each response that is accepted
+  // comes from the incarnation that responded last or from a later one.
+  void ForgetIncarnation();
   void EndRunsOfEarlierIncarnation(std::string_view cause,
                                    SessionOutputs& outputs);
   void EndRun(const RunId& run,
--- a/tests/upstream_session_test.cc
+++ b/tests/upstream_session_test.cc
@@ -576,6 +576,104 @@
   cr_assert(!rig.EndOf(Run(1)), "the new incarnation has started it");
 }
 
+// Guards against the response of an earlier incarnation, read late, that ends
+// runs of the present one: the task is then started beside its running copy.
+Test(upstream_session, late_responses_of_an_earlier_incarnation_end_no_run) {
+  SessionRig rig;
+  rig.incarnation = 1000;
+  rig.BecomeReady();
+  rig.Confirm(rig.Start(Run(0)));
+  rig.session.Stop(rig.now, Run(0), rig.outputs);
+  const StopRequest stop = *rig.Take<StopRequest>();
+  const StartRequest unanswered = rig.Start(Run(1));
+  const StartRequest start = rig.Start(Run(2));
+  const UpstreamTimestamps earlier = rig.stamp();
+  rig.outputs.clear();
+  rig.incarnation = 3000;
+  rig.Confirm(start);
+  cr_assert(rig.EndOf(Run(0)) == RunOutcome::kUpstreamCrashed);
+  rig.session.OnStopResponse(rig.now, stop.request_number,
+                             RunResponse{.stamp = earlier}, rig.outputs);
+  rig.session.OnStartResponse(rig.now, unanswered.request_number,
+                              RunResponse{.stamp = earlier}, rig.outputs);
+  cr_assert(!rig.EndOf(Run(2)), "the present incarnation runs it");
+  cr_assert_eq(*rig.session.started_unix_ms(), 3000);
+  cr_assert(!rig.EndOf(Run(1)), "it may still start");
+  const PollRequest poll = *rig.Take<PollRequest>();
+  cr_assert(poll.is_recovery && poll.token > unanswered.token);
+  rig.Respond(poll, {Run(2)});
+  cr_assert(rig.session.is_ready());
+  cr_assert(rig.EndOf(Run(1)) == RunOutcome::kNotStarted);
+  cr_assert(!rig.EndOf(Run(2)));
+}
+
+// Guards against the same response after the service discovery has shown the
+// restart.
+Test(upstream_session, late_stop_response_after_a_listed_restart_ends_no_run) {
+  SessionRig rig;
+  rig.incarnation = 1000;
+  rig.BecomeReady();
+  rig.Confirm(rig.Start(Run(0)));
+  rig.session.Stop(rig.now, Run(0), rig.outputs);
+  const StopRequest stop = *rig.Take<StopRequest>();
+  const UpstreamTimestamps earlier = rig.stamp();
+  rig.outputs.clear();
+  rig.incarnation = 3000;
+  rig.session.OnUpstreamRestarted(rig.now, 3000, rig.outputs);
+  rig.BecomeReady();
+  rig.Confirm(rig.Start(Run(1)));
+  rig.session.OnStopResponse(rig.now, stop.request_number,
+                             RunResponse{.stamp = earlier}, rig.outputs);
+  cr_assert(!rig.EndOf(Run(1)));
+  cr_assert(rig.session.is_ready());
+  cr_assert_eq(*rig.session.started_unix_ms(), 3000);
+}
+
+// Guards against an upstream that stays unusable, or whose runs are started
+// again beside it, since its time of day was set back before it restarted.
+Test(upstream_session, restart_with_an_earlier_start_time_is_confirmed_first) {
+  SessionRig rig;
+  rig.incarnation = 3000;
+  rig.BecomeReady();
+  rig.Confirm(rig.Start(Run(0)));
+  rig.outputs.clear();
+  rig.incarnation = 1000;
+  rig.Confirm(rig.Start(Run(1)));
+  cr_assert(!rig.EndOf(Run(0)));
+  cr_assert(!rig.EndOf(Run(1)));
+  cr_assert_eq(*rig.session.started_unix_ms(), 3000);
+  cr_assert(!rig.session.is_ready());
+  const PollRequest poll = *rig.Take<PollRequest>();
+  cr_assert(poll.is_recovery);
+  rig.Respond(poll, {Run(1)});
+  cr_assert(rig.EndOf(Run(0)) == RunOutcome::kUpstreamCrashed);
+  cr_assert(!rig.EndOf(Run(1)));
+  cr_assert(rig.session.is_ready());
+  cr_assert_eq(*rig.session.started_unix_ms(), 1000);
+}
+
+// Guards against the end of a run that the present incarnation has started
+// before the restart was known: the response to a start need not name the
+// incarnation.
+Test(upstream_session, run_that_the_restarted_upstream_lists_is_kept) {
+  SessionRig rig;
+  rig.BecomeReady();
+  rig.Confirm(rig.Start(Run(0)));
+  const PollRequest poll = *rig.Take<PollRequest>();
+  rig.AdvanceBy(milliseconds(10));
+  const StartRequest start = rig.Start(Run(1));
+  rig.incarnation = 2;
+  rig.session.OnStartResponse(rig.now, start.request_number,
+                              RunResponse{.stamp = {.clock_ms = rig.clock()}},
+                              rig.outputs);
+  rig.AdvanceBy(milliseconds(10));
+  rig.Respond(poll, {Run(1)});
+  rig.Respond(*rig.Take<PollRequest>(), {Run(1)});
+  cr_assert(rig.EndOf(Run(0)) == RunOutcome::kUpstreamCrashed);
+  cr_assert(!rig.EndOf(Run(1)));
+  cr_assert(rig.session.is_ready());
+}
+
 // Guards against a stop that is lost while the session recovers.
 Test(upstream_session,
      stop_during_recovery_is_sent_when_the_upstream_responds) {
