Let an upstream's response, not its entry, tell that it has restarted

A caller could see a task started again while its run went on: an entry of the list with a `born` that was too high (, or an entry of another writer) ended all confirmed runs of the upstream as crashed, though it ran them on and said so.

Cause: the session believed any higher start time of an entry, and took it for the incarnation that had responded.

Evidence, before the change: node/runs_go_on_while_entries_hold_wrong_start_ times: "The expression (rig.run_monitor.started) == (kJobs) is false", that is, more starts than tasks; upstream_session/listed_restart_that_the_upstream_ denies_ends_no_run and runs_end_with_their_lease_after_a_listed_restart: "The expression !rig.EndOf(Run(0)) is false"; wrong_listed_start_times_are_rarely_ verified: "The expression rig.session.is_ready() is false".

Change: a higher listed start time makes the session poll the upstream at once, on the connection of recovery polls and with a raised token. Only the start time in a response counts. A listed time is verified once, and another one that the upstream does not confirm not within 500 ms; after a restart the next one is verified at once. Runs at an upstream that does not answer end with their lease.

Why it works: the poll is sent after the entry was written, so a restarted upstream answers it as the new incarnation. What the limit holds back is noticed by the next poll, which an upstream with runs gets each 450 ms.

Result: 100 list changes with wrong entries within 1 s cause 2 polls. The tests above, listed_restart_that_the_upstream_confirms_ends_runs (passed before, too) and all others of upstream_session, scheduler, crash_history, platform_messages and node (85 in all) pass in a release build.

--- a/src/control/upstream_session.cc
+++ b/src/control/upstream_session.cc
@@ -231,6 +231,7 @@
   acknowledged_ = 0;
   acknowledged_sent_ = 0;
   clock_ms_.reset();
+  listed_unix_ms_.reset();
 }
 
 void UpstreamSession::EndRunsOfEarlierIncarnation(std::string_view cause,
@@ -249,14 +250,23 @@
 void UpstreamSession::OnUpstreamRestarted(TimePoint now,
                                           std::int64_t started_unix_ms,
                                           SessionOutputs& outputs) {
-  if (state_ == State::kFenced ||
+  const bool is_checked =
+      listed_unix_ms_ &&
+      (*listed_unix_ms_ == started_unix_ms ||
+       now < listing_checked_ + options_.listing_check_interval);
+  if (state_ == State::kFenced || is_checked ||
       (started_unix_ms_ && *started_unix_ms_ >= started_unix_ms)) {
     return;
   }
-  ForgetIncarnation();
-  EndRunsOfEarlierIncarnation("restarted", outputs);
-  ChangeState(State::kTakingOver, "restarted", outputs);
-  started_unix_ms_ = started_unix_ms;
+  listed_unix_ms_ = started_unix_ms;
+  listing_checked_ = now;
+  if (state_ == State::kReady && !runs_.empty()) {
+    EnterRecovery(now, "restart_listed", outputs);
+    return;
+  }
+  if (state_ == State::kReady) {
+    ChangeState(State::kTakingOver, "restart_listed", outputs);
+  }
   RaiseToken();
   SendPoll(now, Duration(0), false, true, outputs);
 }
--- a/src/control/upstream_session.h
+++ b/src/control/upstream_session.h
@@ -164,6 +164,9 @@
   Duration lost_poll_interval = std::chrono::milliseconds(500);
   // Ends at an idle upstream are acknowledged after this time.
   Duration idle_acknowledge_delay = std::chrono::milliseconds(800);
+  // Shortest interval of polls that verify listed start times which the
+  // upstream does not confirm.
+  Duration listing_check_interval = std::chrono::milliseconds(500);
 };
 
 // A leader's view of one upstream.
@@ -186,7 +189,8 @@
   // them.
   void Begin(TimePoint now, SessionOutputs& outputs);
 
-  // The service discovery shows a new incarnation of the upstream.
+  // The service discovery lists a start time of the upstream, perhaps that of a
+  // new incarnation. The entry may be wrong, so a poll of the upstream decides.
   void OnUpstreamRestarted(TimePoint now,
                            std::int64_t started_unix_ms,
                            SessionOutputs& outputs);
@@ -357,6 +361,10 @@
   std::optional<std::int64_t> clock_ms_;
   TimePoint clock_read_;
   std::optional<std::int64_t> started_unix_ms_;
+  // The listed start time that was verified last, unless the upstream has
+  // restarted since.
+  std::optional<std::int64_t> listed_unix_ms_;
+  TimePoint listing_checked_;
   TimePoint lease_bound_;
   // The last request without a response was refused.
   bool was_refused_ = false;
--- a/standins/platform_service.h
+++ b/standins/platform_service.h
@@ -8,6 +8,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -180,6 +181,8 @@
   void Register(const std::string& state);
   // Registers `port`, that of a relay, instead of the server's own port.
   void RegisterAt(std::uint16_t port);
+  // Registers a start time that is not the upstream's, as another writer may.
+  void RegisterStartTime(std::int64_t started_unix_ms);
 
   // Runs that complete while this is set are reported as failed.
   void FailAll(bool fails) { fails_ = fails; }
@@ -245,6 +248,7 @@
   RunMonitor& run_monitor_;
   Options options_;
   std::int64_t incarnation_;
+  std::optional<std::int64_t> listed_start_;
   // 0 means the server's own port.
   std::uint16_t registered_port_ = 0;
   TimePoint start_time_;
--- a/standins/platform_upstream.cc
+++ b/standins/platform_upstream.cc
@@ -73,10 +73,15 @@
            {"capacity",
             {{"cpu", options_.milli_cpus}, {"mem_mb", 65536}, {"gpu", 0}}},
            {"labels", {"a", "r1-1"}},
-           {"born", incarnation_}}
+           {"born", listed_start_.value_or(incarnation_)}}
           .dump());
 }
 
+void PlatformUpstream::RegisterStartTime(std::int64_t started_unix_ms) {
+  listed_start_ = started_unix_ms;
+  Register("ready");
+}
+
 void PlatformUpstream::RegisterAt(std::uint16_t port) {
   registered_port_ = port;
   Register("ready");
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -153,6 +153,29 @@
   AssertNoViolation(rig);
 }
 
+// Guards against an entry with a wrong start time that ends the runs of a sound
+// upstream, which are then started again beside it.
+Test(node, runs_go_on_while_entries_hold_wrong_start_times) {
+  PlatformRig rig;
+  rig.AddNode();
+  cr_assert(rig.WaitUntilReady());
+  constexpr int kJobs = 6;
+  for (int job = 0; job < kJobs; ++job) {
+    rig.Submit(0, Id(job), 1, "1500", "/fit/", 6000);
+  }
+  for (const std::int64_t started_unix_ms :
+       {8'999'999'999'999'999, 9'000'000'000'000'000}) {
+    rig.loop.RunFor(600);
+    for (const auto& upstream : rig.upstreams) {
+      upstream->RegisterStartTime(started_unix_ms);
+    }
+  }
+  cr_assert(rig.WaitForResponses());
+  cr_assert_eq(CountStatus(rig, kJobs, 200), kJobs);
+  cr_assert_eq(rig.run_monitor.started, kJobs);
+  AssertNoViolation(rig);
+}
+
 // Guards against jobs that fail because they are sent to an upstream on which
 // every run fails.
 Test(node, upstream_on_which_every_run_fails_makes_no_job_fail) {
--- a/tests/upstream_session_test.cc
+++ b/tests/upstream_session_test.cc
@@ -674,6 +674,91 @@
   cr_assert(rig.session.is_ready());
 }
 
+// Guards against an entry of another writer that ends the runs of an upstream,
+// which are then started again beside it.
+Test(upstream_session, listed_restart_that_the_upstream_denies_ends_no_run) {
+  constexpr std::int64_t kListed = 8'999'999'999'999'999;
+  SessionRig rig;
+  rig.BecomeReady();
+  const StartRequest start = rig.Start(Run(0));
+  rig.Confirm(start);
+  rig.outputs.clear();
+  rig.session.OnUpstreamRestarted(rig.now, kListed, rig.outputs);
+  cr_assert(!rig.EndOf(Run(0)));
+  const PollRequest poll = *rig.Take<PollRequest>();
+  cr_assert(poll.is_recovery && poll.wait == Duration(0));
+  cr_assert_gt(poll.token, start.token);
+  rig.Respond(poll, {Run(0)});
+  cr_assert(rig.session.is_ready());
+  cr_assert_eq(*rig.session.started_unix_ms(), 1);
+  cr_assert_eq(rig.session.runs(), 1);
+  rig.Confirm(rig.Start(Run(1)));
+  cr_assert_leq(rig.session.lease_bound(), rig.now + milliseconds(1030));
+}
+
+// Guards against polls and held starts at each change of a list that holds
+// wrong entries.
+Test(upstream_session, wrong_listed_start_times_are_rarely_verified) {
+  SessionRig rig;
+  rig.BecomeReady();
+  rig.Confirm(rig.Start(Run(0)));
+  int polls = 0;
+  for (int change = 0; change < 100; ++change) {
+    rig.outputs.clear();
+    rig.AdvanceBy(milliseconds(10));
+    const std::int64_t listed = change < 50 ? 9000 : 9000 + change;
+    rig.session.OnUpstreamRestarted(rig.now, listed, rig.outputs);
+    rig.session.OnUpstreamRestarted(rig.now, 1, rig.outputs);
+    if (const auto poll = rig.Take<PollRequest>()) {
+      ++polls;
+      rig.Respond(*poll, {Run(0)});
+    }
+    cr_assert(rig.session.is_ready());
+  }
+  cr_assert_eq(polls, 2, "%d polls", polls);
+  cr_assert_eq(rig.session.runs(), 1);
+}
+
+// Guards against runs that are awaited at a restarted upstream until their
+// leases end, also after wrong entries.
+Test(upstream_session, listed_restart_that_the_upstream_confirms_ends_runs) {
+  SessionRig rig;
+  rig.incarnation = 1000;
+  rig.BecomeReady();
+  rig.Confirm(rig.Start(Run(0)));
+  for (const std::int64_t restart : {2000, 2001}) {
+    rig.outputs.clear();
+    rig.AdvanceBy(milliseconds(10));
+    rig.incarnation = restart;
+    rig.session.OnUpstreamRestarted(rig.now, restart, rig.outputs);
+    rig.Respond(*rig.Take<PollRequest>());
+    cr_assert(rig.EndOf(Run(0)) == RunOutcome::kUpstreamCrashed);
+    cr_assert(rig.session.is_ready());
+    rig.Confirm(rig.Start(Run(0)));
+  }
+}
+
+// Guards against runs that never end at an upstream that is listed as restarted
+// and does not respond.
+Test(upstream_session, runs_end_with_their_lease_after_a_listed_restart) {
+  SessionRig rig;
+  rig.BecomeReady();
+  rig.Confirm(rig.Start(Run(0)));
+  rig.outputs.clear();
+  rig.session.OnUpstreamRestarted(rig.now, 2, rig.outputs);
+  const TimePoint bound = rig.now + milliseconds(1030);
+  while (rig.now < bound) {
+    cr_assert(!rig.EndOf(Run(0)));
+    if (const auto poll = rig.Take<PollRequest>()) {
+      rig.session.OnPollResponse(rig.now, poll->request_number, NoResponse{},
+                                 rig.outputs);
+    }
+    rig.session.OnUpstreamRestarted(rig.now, 2, rig.outputs);
+    rig.AdvanceBy(milliseconds(10));
+  }
+  cr_assert(rig.EndOf(Run(0)) == RunOutcome::kUpstreamSilent);
+}
+
 // Guards against a stop that is lost while the session recovers.
 Test(upstream_session,
      stop_during_recovery_is_sent_when_the_upstream_responds) {
