--- a/src/control/upstream_session.cc
+++ b/src/control/upstream_session.cc
@@ -260,11 +260,11 @@
   }
   listed_unix_ms_ = started_unix_ms;
   listing_checked_ = now;
-  if (state_ == State::kReady && !runs_.empty()) {
+  if (IsResponding() && !runs_.empty()) {
     EnterRecovery(now, "restart_listed", outputs);
     return;
   }
-  if (state_ == State::kReady) {
+  if (IsResponding()) {
     ChangeState(State::kTakingOver, "restart_listed", outputs);
   }
   RaiseToken();
