Never answer a job that may have run as not run

What callers could see: 503 'not run' for a job that an earlier submission had started. Cause: a refusal was turned into a failure in one of the places that answer a job. An entry without a reachable domain, one that was paused and one that shuts down answered 503 without a look at what they knew of the job. Change: Respond turns refusals of jobs that may have run into failures, for all paths; the refusals before a job is taken ask for it as well. Why it works: there is one place that answers a job, and it knows. Test: node/job_that_has_run_is_not_refused_when_it_is_submitted_again.

--- a/src/node/caller_server.cc
+++ b/src/node/caller_server.cc
@@ -44,6 +44,13 @@
           .body = R"({"error":")" + std::move(message) + R"("})"};
 }
 
+// A refusal says that the job has not run. Returns a failure in its place.
+schedule::JobOutcome WithoutRefusal(const schedule::JobOutcome& outcome) {
+  const auto* const refused = std::get_if<schedule::Refused>(&outcome);
+  return refused == nullptr ? outcome
+                            : schedule::Failed{.reason = refused->reason};
+}
+
 }  // namespace
 
 CallerServer::CallerServer(Runtime& runtime,
@@ -121,20 +128,22 @@
 
 void CallerServer::OnSubmission(JobSubmission submission,
                                 http::Responder responder) {
-  if (runtime_.HasJustResumed()) {
-    // After a pause, the request may have waited in the socket for longer than
-    // its caller's timeout.
-    responder.Send(codec_.EncodeOutcome(schedule::Refused{
-        .reason = RefusalReason::kOverloaded, .retry_after = kRetryAfter}));
-    return;
-  }
+  const std::string id = submission.spec.id;
   const TimePoint now = runtime_.Now();
-  if (refuse_from_ && now >= *refuse_from_) {
-    responder.Send(codec_.EncodeOutcome(schedule::Refused{
-        .reason = RefusalReason::kNoUpstream, .retry_after = kRetryAfter}));
+  // After a pause, the request may have waited in the socket for longer than
+  // its caller's timeout.
+  const bool has_just_resumed = runtime_.HasJustResumed();
+  if (has_just_resumed || (refuse_from_ && now >= *refuse_from_)) {
+    const schedule::JobOutcome refusal = schedule::Refused{
+        .reason = has_just_resumed ? RefusalReason::kOverloaded
+                                   : RefusalReason::kNoUpstream,
+        .retry_after = kRetryAfter};
+    const bool may_have_run =
+        jobs_.contains(id) || active_jobs_.Contains(now, id);
+    responder.Send(
+        codec_.EncodeOutcome(may_have_run ? WithoutRefusal(refusal) : refusal));
     return;
   }
-  const std::string id = submission.spec.id;
   const auto known = jobs_.find(id);
   LogEvent(LogLevel::kDebug, "job_received",
            {{"id", id},
@@ -445,7 +454,8 @@
   Respond(id, schedule::Failed{.reason = RefusalReason::kRunsLost}, {});
 }
 
-// A job that was refused has not run, so it may be submitted to another domain.
+// A domain that refuses a job runs nothing of it, so the job may be submitted
+// to another one.
 void CallerServer::OnOutcome(const std::string& id,
                              const schedule::JobOutcome& outcome,
                              const std::vector<schedule::TraceEntry>& trace) {
@@ -459,17 +469,13 @@
                          refused->reason != RefusalReason::kTooLong &&
                          job.tried_domains.size() + 1 < kMaxDomainsPerJob &&
                          runtime_.Now() < job.deadline;
-  const schedule::JobOutcome answer =
-      refused != nullptr && job.may_have_run
-          ? schedule::JobOutcome(schedule::Failed{.reason = refused->reason})
-          : outcome;
   if (!may_retry) {
-    Respond(id, answer, trace);
+    Respond(id, outcome, trace);
     return;
   }
   job.tried_domains.push_back(job.failure_domain);
   if (!control::ChooseDomain({}, DomainCandidates(), job.tried_domains)) {
-    Respond(id, answer, trace);
+    Respond(id, outcome, trace);
     return;
   }
   LogEvent(LogLevel::kDebug, "job_redirected",
@@ -480,7 +486,7 @@
 }
 
 void CallerServer::Respond(const std::string& id,
-                           const schedule::JobOutcome& outcome,
+                           const schedule::JobOutcome& reported,
                            const std::vector<schedule::TraceEntry>& trace) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) {
@@ -488,6 +494,8 @@
   }
   const Job job = std::move(it->second);
   jobs_.erase(it);
+  const schedule::JobOutcome outcome =
+      job.may_have_run ? WithoutRefusal(reported) : reported;
   const bool is_completed =
       std::holds_alternative<schedule::Completed>(outcome);
   if (std::holds_alternative<schedule::Failed>(outcome)) {
--- a/src/node/caller_server.h
+++ b/src/node/caller_server.h
@@ -107,7 +107,7 @@
                  const schedule::JobOutcome& outcome,
                  const std::vector<schedule::TraceEntry>& trace);
   void Respond(const std::string& id,
-               const schedule::JobOutcome& outcome,
+               const schedule::JobOutcome& reported,
                const std::vector<schedule::TraceEntry>& trace);
   std::vector<control::DomainCandidate> DomainCandidates();
   // True if the job has to wait for the leader of this instance's domain.
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -480,6 +480,25 @@
   AssertNoViolation(rig);
 }
 
+// Guards against a job that is answered as not run, since it can't be started
+// again, although an earlier submission has run.
+Test(node, job_that_has_run_is_not_refused_when_it_is_submitted_again) {
+  PlatformRig rig;
+  const std::size_t leader = rig.AddNode();
+  cr_assert(rig.WaitUntilReady());
+  const std::size_t entry = rig.AddNode();
+  rig.loop.RunFor(2500);
+  rig.Submit(entry, Id(1), 1, "2000", "/fit/", 4000);
+  cr_assert(rig.loop.RunUntil([&] { return rig.run_monitor.started == 1; }));
+  rig.Disconnect(Id(1));
+  rig.loop.RunFor(5);
+  rig.store.SetDown(true);
+  rig.KillNode(leader);
+  rig.Submit(entry, Id(1), 1, "200", "/fit/", 4000);
+  cr_assert(rig.WaitForResponses());
+  cr_assert_neq(rig.StatusOf(Id(1)), 503, "%s", rig.BodyOf(Id(1)).c_str());
+}
+
 // Guards against nodes that take over the domain of a leader right after a cut
 // has healed, which ends all its runs: to them, the refused connections during
 // the cut look like those to a process that has ended. In scenario
