Forget the failures of an upstream when another incarnation responds

What callers could see: tasks on a failing upstream, and failed jobs, since the upstream's entry held a wrong start time. Cause: the fleet forgot failures, ejection and slowness at each change of the listed start time, which another writer may have written. Evidence, before: scheduler/ejection_ends_when_another_incarnation_responds: 'The expression fleet.is_ejected(number, rig.now()) is false'. Change: they are forgotten when the upstream responds as another incarnation. Why it works: a session reports the responding incarnation after each restart, before a run starts there.

--- a/src/schedule/fleet.cc
+++ b/src/schedule/fleet.cc
@@ -63,14 +63,6 @@
     states_.emplace_back();
   }
   State& state = states_[it->second];
-  const bool has_restarted =
-      !is_new && state.upstream.started_unix_ms != upstream.started_unix_ms;
-  if (has_restarted) {
-    state.failures_in_row = 0;
-    state.ejections = 0;
-    state.ejected_until = TimePoint();
-    state.slowdown = 1;
-  }
   state.upstream = upstream;
   state.is_listed = true;
   return it->second;
@@ -90,7 +82,16 @@
 }
 
 void Fleet::SetIncarnation(std::uint32_t number, std::int64_t started_unix_ms) {
-  states_[number].responded_unix_ms = started_unix_ms;
+  State& state = states_[number];
+  const bool has_restarted =
+      state.responded_unix_ms && *state.responded_unix_ms != started_unix_ms;
+  if (has_restarted) {
+    state.failures_in_row = 0;
+    state.ejections = 0;
+    state.ejected_until = TimePoint();
+    state.slowdown = 1;
+  }
+  state.responded_unix_ms = started_unix_ms;
 }
 
 std::int64_t Fleet::incarnation(std::uint32_t number) const {
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -127,6 +127,27 @@
   cr_assert(std::get<Failed>(outcome).reason == RefusalReason::kTaskFailed);
 }
 
+// Guards against a failing upstream that gets tasks again since its entry holds
+// a wrong start time.
+Test(scheduler, ejection_ends_when_another_incarnation_responds) {
+  SchedulerRig rig;
+  const std::uint32_t number = rig.AddUpstream("u1", 16000);
+  Scheduler& scheduler = rig.scheduler();
+  Fleet& fleet = scheduler.fleet();
+  scheduler.OnUpstreamResponse({.id = "u1", .started_unix_ms = 1});
+  for (int failure = 0; failure < 2; ++failure) {
+    fleet.Occupy(number, {}, rig.now());
+    fleet.Release(number, {}, HealthSignal::kFailed, rig.now());
+  }
+  cr_assert(fleet.is_ejected(number, rig.now()));
+  Upstream entry = fleet.upstream(number);
+  entry.started_unix_ms = 9000;
+  fleet.Update(entry);
+  cr_assert(fleet.is_ejected(number, rig.now()));
+  scheduler.OnUpstreamResponse({.id = "u1", .started_unix_ms = 2});
+  cr_assert(!fleet.is_ejected(number, rig.now()));
+}
+
 // Guards against a sound task that is given up because its leases lapsed while
 // its leader was paused, or because upstreams fell silent for a while.
 Test(scheduler, sound_task_outlives_silent_upstreams) {
