Let a resubmission leave a domain after its runs have ended

What callers could see: 504 no_upstream for a job that came again, while another domain had room. Cause: a resubmission that was held back inherited the count of starts, so it could only fail, not be refused, and an entry submits only refused jobs to another domain. It could not be shed either, so other jobs were refused in its place. Change: a refusal says whether an earlier submission may have run. The entry may submit the job to another domain, and does not answer it as not run. Why it works: the refusal leaves the scheduler after the last run has ended. Test: scheduler/resubmission_that_finds_no_upstream_is_refused_as_possibly_run.

--- a/src/node/caller_server.cc
+++ b/src/node/caller_server.cc
@@ -465,6 +465,8 @@
   }
   Job& job = it->second;
   const auto* const refused = std::get_if<schedule::Refused>(&outcome);
+  job.may_have_run =
+      job.may_have_run || (refused != nullptr && refused->may_have_run);
   const bool may_retry = refused != nullptr &&
                          refused->reason != RefusalReason::kTooLong &&
                          job.tried_domains.size() + 1 < kMaxDomainsPerJob &&
--- a/src/node/peer_messages.cc
+++ b/src/node/peer_messages.cc
@@ -279,7 +279,8 @@
   json operator()(const schedule::Refused& refused) const {
     return {{"outcome", "refused"},
             {"reason", static_cast<int>(refused.reason)},
-            {"retry_us", refused.retry_after.count()}};
+            {"retry_us", refused.retry_after.count()},
+            {"may_have_run", refused.may_have_run}};
   }
   json operator()(const schedule::Failed& failed) const {
     return {{"outcome", "failed"}, {"reason", static_cast<int>(failed.reason)}};
@@ -294,8 +295,10 @@
   const auto reason =
       static_cast<schedule::RefusalReason>(value.at("reason").get<int>());
   if (outcome == "refused") {
-    return schedule::Refused{.reason = reason,
-                             .retry_after = Duration(value.at("retry_us"))};
+    return schedule::Refused{
+        .reason = reason,
+        .retry_after = Duration(value.at("retry_us")),
+        .may_have_run = value.value("may_have_run", false)};
   }
   return schedule::Failed{.reason = reason};
 }
--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -89,6 +89,8 @@
   std::uint32_t starts = 0;
   // The job has been answered; its remaining runs are being stopped.
   bool has_ended = false;
+  // Runs of an earlier submission may have had an effect.
+  bool may_have_run = false;
   // A later submission of this job, which is admitted when the last run has
   // ended. Null if there is none.
   boost::intrusive_ptr<Job> resubmission;
--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -107,11 +107,14 @@
 // All tasks have succeeded.
 struct Completed {};
 
-// No task of the job was started, and none will be.
+// No task of this submission was started, and none will be.
 struct Refused {
   RefusalReason reason = RefusalReason::kOverloaded;
   // Time from now after which the caller should retry at the earliest.
   Duration retry_after{0};
+  // Tasks of an earlier submission may have been started. All of them have
+  // ended.
+  bool may_have_run = false;
 };
 
 // Tasks of the job were started, but the job did not complete.
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -433,7 +433,9 @@
                      Actions& actions) {
   if (job.starts == 0) {
     EndJob(now, job,
-           Refused{.reason = reason, .retry_after = RetryAfter(now, job)},
+           Refused{.reason = reason,
+                   .retry_after = RetryAfter(now, job),
+                   .may_have_run = job.may_have_run},
            actions);
     return;
   }
--- a/src/schedule/scheduler_admission.cc
+++ b/src/schedule/scheduler_admission.cc
@@ -49,10 +49,8 @@
   return *std::ranges::max_element(chains);
 }
 
-// Upstreams refuse runs with a number that they have seen, and a job whose runs
-// may have had an effect is not answered as one that has not run.
+// Upstreams refuse runs with a number that they have seen.
 void ContinueRunNumbers(const Job& earlier, Job& next) {
-  next.starts = earlier.starts;
   const std::size_t steps = std::min(earlier.steps.size(), next.steps.size());
   for (std::size_t step = 0; step < steps; ++step) {
     const auto& from = earlier.steps[step].tasks;
@@ -117,6 +115,7 @@
   }
   const JobPointer next = std::exchange(earlier->resubmission, nullptr);
   ContinueRunNumbers(*earlier, *next);
+  next->may_have_run = earlier->starts > 0 || earlier->may_have_run;
   jobs_[next->spec.id] = next;
   Admit(now, *next, actions);
 }
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -474,6 +474,20 @@
             RefusalReason::kCommandLost);
 }
 
+// Guards against a resubmission that is kept from other domains after its runs
+// have ended, and against one that is refused as if the job had not run.
+Test(scheduler,
+     resubmission_that_finds_no_upstream_is_refused_as_possibly_run) {
+  SchedulerRig rig;
+  AbandonRunningJob(rig);
+  rig.Submit("a", Kind(), 1, 6800, milliseconds(100));
+  rig.scheduler().fleet().Remove(rig.starts[0].second);
+  rig.RunFor(milliseconds(50));
+  const auto& refused = std::get<Refused>(rig.results.at("a").outcome);
+  cr_assert(refused.may_have_run);
+  cr_assert_eq(rig.starts.size(), 1);
+}
+
 // Guards against a resubmission that starts although its caller has left too.
 Test(scheduler, resubmission_that_waits_ends_with_its_caller) {
   SchedulerRig rig;
