Let an older request for a forwarded job not replace a newer one

Cause: a forwarded job replaces the earlier request of the same instance for it. Requests on different connections may arrive in any order, and then the older one, whose connection is broken, replaced the one that the entry waits for. Change: a request says when it was sent, and one that is older than the request that the leader has is answered without effect.

--- a/src/node/peer_messages.cc
+++ b/src/node/peer_messages.cc
@@ -311,6 +311,7 @@
                {"instance", message.instance},
                {"elapsed_us", message.elapsed.count()},
                {"deadline_us", message.deadline_us},
+               {"sent_us", message.sent_us},
                {"required_incarnation", message.required_incarnation}});
 }
 
@@ -322,6 +323,7 @@
         .instance = value.at("instance"),
         .elapsed = Duration(value.at("elapsed_us")),
         .deadline_us = value.at("deadline_us"),
+        .sent_us = value.value("sent_us", std::int64_t{0}),
         .required_incarnation = value.value("required_incarnation", "")};
   });
 }
--- a/src/node/peer_messages.h
+++ b/src/node/peer_messages.h
@@ -35,6 +35,9 @@
   // the deadline is never later than intended. The receiver refuses jobs that
   // arrive after it.
   std::int64_t deadline_us = 0;
+  // Time of sending on the sender's clock. Orders the requests of an instance
+  // for one job, which may arrive on different connections in any order.
+  std::int64_t sent_us = 0;
   // If not empty, only this process may accept the job: runs of an earlier
   // submission may be active under its leadership.
   std::string required_incarnation;
--- a/src/node/peer_server.cc
+++ b/src/node/peer_server.cc
@@ -1,5 +1,6 @@
 #include "node/peer_server.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -129,9 +130,20 @@
   const std::vector<std::uint64_t> replaced =
       domain_leader->HasJob(message->spec.id) ? ForwardsOf(*message)
                                               : std::vector<std::uint64_t>();
+  const bool is_superseded =
+      std::ranges::any_of(replaced, [&](std::uint64_t earlier) {
+        return forwarded_jobs_.at(earlier).sent_us > message->sent_us;
+      });
+  if (is_superseded) {
+    responder.Send(OkResponse(Encode(ForwardedJobResponse{
+        .outcome =
+            schedule::Failed{.reason = schedule::RefusalReason::kAbandoned}})));
+    return;
+  }
   const std::uint64_t number = ++last_number_;
   Job& job = forwarded_jobs_[number];
   job.instance = message->instance;
+  job.sent_us = message->sent_us;
   job.failure_domain = message->failure_domain;
   job.id = message->spec.id;
   job.responder = std::make_unique<http::Responder>(std::move(responder));
--- a/src/node/peer_server.h
+++ b/src/node/peer_server.h
@@ -38,6 +38,7 @@
 
  private:
   struct Job {
+    std::int64_t sent_us = 0;
     std::string instance;
     std::string failure_domain;
     std::string id;
