--- a/src/node/peer_server.cc
+++ b/src/node/peer_server.cc
@@ -159,8 +159,7 @@
   if (it != forwarded_jobs_.end()) {
     it->second.waiter = waiter;
   }
-  // The instance forwards a job again only if the connection of the earlier
-  // request is broken at its end.
+  // An instance waits for one request for each job only.
   for (const std::uint64_t earlier : replaced) {
     RemoveWaiter(earlier, "forwarded_again");
   }
