Add review case: a lost cancel leaves a job running beside its resubmission

Cause: an instance withdraws a job only by closing its connection to the leader; on a silent connection the leader never hears of it, and the instance's pings keep the job alive.

--- a/review/stand/bed.cc
+++ b/review/stand/bed.cc
@@ -333,9 +333,10 @@
   runtime_ = std::make_unique<jaypick::node::Runtime>(base_);
   store_ = std::make_unique<jaypick::standin::PlatformStore>(*runtime_);
   client_ = std::make_unique<jaypick::http::Client>(
-      base_, jaypick::http::ClientOptions{.connections_per_address = 200});
+      base_, jaypick::http::ClientOptions{.connections_per_address = 200,
+                                          .resets_on_timeout = true});
   started_ = runtime_->Now();
-  PutConfiguration();
+  PutConfiguration(7, {"/desk/"});
   for (const auto& [name, zone] : options_.nodes) {
     NodeProcess node{.name = name, .zone = zone};
     for (auto* const port :
@@ -345,6 +346,10 @@
     if (options_.relays_peers) {
       node.relay = std::make_unique<PeerRelay>(base_, node.peer->value());
     }
+    if (options_.relays_store) {
+      node.store_relay =
+          std::make_unique<PeerRelay>(base_, store_->address().port);
+    }
     node.settings = options_.folder + "/" + name + ".conf";
     node.log = options_.folder + "/" + name + ".log";
     std::ofstream(node.settings) << RenderSettings(node);
@@ -361,26 +366,31 @@
   }
   executors_.clear();
   client_.reset();
+  nodes_.clear();
   timers_.clear();
   store_.reset();
   runtime_.reset();
   event_base_free(base_);
 }
 
-void Bed::PutConfiguration() {
-  store_->Put("op/config",
-              Json{{"version", 7},
-                   {"routes",
-                    {{{"name", "r-desk"},
+void Bed::PutConfiguration(int version,
+                           const std::vector<std::string>& prefixes) {
+  Json routes = Json::array();
+  for (const std::string& prefix : prefixes) {
+    routes.push_back({{"name", "r" + prefix},
                       {"host", "desk.example"},
-                      {"prefix", "/desk/"},
+                      {"prefix", prefix},
                       {"kind", "unsafe"},
                       {"timeout_ms", 30000},
                       {"target_latency_ms", 60},
                       {"priority", 1},
                       {"service", "order-desk"},
                       {"max_attempts", 3},
-                      {"stretch", 1.6}}}},
+                      {"stretch", 1.6}});
+  }
+  store_->Put("op/config",
+              Json{{"version", version},
+                   {"routes", routes},
                    {"services",
                     {{{"name", "order-desk"},
                       {"health_path", "/health"},
@@ -413,7 +423,9 @@
       {"{{ip}}", "127.0.0.1"},
       {"{{port_range.0}}", std::to_string(node.peer->value())},
       {"{{port_range.1}}", std::to_string(node.metrics->value())},
-      {"{{platform.address}}", Endpoint(store_->address().port)},
+      {"{{platform.address}}",
+       Endpoint(node.store_relay == nullptr ? store_->address().port
+                                            : node.store_relay->port())},
       {"{{limits.cpu_share|json}}", "0.25"},
       {"{{bounds.hold_max_ms|json}}", "1000"},
       {"{{bounds.drain_ms|json}}", "2000"},
@@ -483,6 +495,13 @@
   }
 }
 
+bool Bed::HasExited(NodeProcess& node) {
+  if (node.pid > 0 && waitpid(node.pid, nullptr, WNOHANG) == node.pid) {
+    node.pid = -1;
+  }
+  return node.pid < 0;
+}
+
 bool Bed::WaitReady() {
   for (int attempt = 0; attempt < 200; ++attempt) {
     std::size_t ready = 0;
@@ -571,6 +590,11 @@
   return job.id;
 }
 
+void Bed::ResetClient(const std::string& id) {
+  Record("the connection of job " + id + " is reset");
+  client_->Cancel(jobs_.at(id).call);
+}
+
 void Bed::Resubmit(const std::string& id, std::size_t node) {
   Job& job = jobs_.at(id);
   job.node = node;
@@ -582,7 +606,7 @@
   job.answered.reset();
   Record("job " + job.id + " sent to " + nodes_[job.node].name + ": " +
          job.body["steps"].dump());
-  client_->Send(
+  job.call = client_->Send(
       {.host = "127.0.0.1", .port = nodes_[job.node].callers->value()},
       {.method = Method::kPost,
        .path = PathOf(job.id),
--- a/review/stand/bed.h
+++ b/review/stand/bed.h
@@ -129,6 +129,7 @@
   std::unique_ptr<jaypick::standin::PortHolder> metrics;
   // In front of the peer port, if the scenario asks for it.
   std::unique_ptr<PeerRelay> relay;
+  std::unique_ptr<PeerRelay> store_relay;
   std::string settings;
   std::string log;
   pid_t pid = -1;
@@ -146,6 +147,7 @@
   // 0: no response.
   int status = 0;
   std::string text;
+  std::uint64_t call = 0;
 };
 
 struct BedOptions {
@@ -157,6 +159,8 @@
   bool admission_check = true;
   // Nodes reach one another through relays (`listen.advertised_peer`).
   bool relays_peers = false;
+  // Each node reaches the store through a relay.
+  bool relays_store = false;
 };
 
 class Bed {
@@ -175,6 +179,7 @@
 
   void LaunchNode(NodeProcess& node);
   void SignalNode(NodeProcess& node, int signal);
+  bool HasExited(NodeProcess& node);
   // Waits until all nodes report ready. False after 20 s.
   bool WaitReady();
 
@@ -195,6 +200,8 @@
                      std::function<void(const Job&)> done = nullptr);
   // Sends a job again, at the node with number `node`.
   void Resubmit(const std::string& id, std::size_t node);
+  // Resets the connection on which the client waits for the job.
+  void ResetClient(const std::string& id);
   void Call(std::size_t node,
             jaypick::http::Method method,
             const std::string& path,
@@ -202,6 +209,9 @@
   std::map<std::string, Job>& jobs() { return jobs_; }
   std::string PathOf(const std::string& job) const { return "/desk/" + job; }
 
+  // Writes the operator's configuration. `prefixes` are those of the routes.
+  void PutConfiguration(int version, const std::vector<std::string>& prefixes);
+
   void Record(const std::string& line);
   void Violation(const std::string& line);
   std::size_t violations() const { return violations_; }
@@ -218,7 +228,6 @@
 
  private:
   void Send(Job& job, const std::function<void(const Job&)>& done);
-  void PutConfiguration();
   std::string RenderSettings(const NodeProcess& node) const;
 
   BedOptions options_;
--- a/review/stand/peer_relay.cc
+++ b/review/stand/peer_relay.cc
@@ -49,6 +49,10 @@
 
 PeerRelay::PeerRelay(event_base* base, std::uint16_t target_port)
     : base_(base), target_port_(target_port) {
+  Listen();
+}
+
+void PeerRelay::Listen() {
   const sockaddr_in address = Loopback(port_.value());
   const auto on_accept = [](evconnlistener*, evutil_socket_t socket, sockaddr*,
                             int, void* self) {
@@ -63,7 +67,7 @@
 }
 
 PeerRelay::~PeerRelay() {
-  evconnlistener_free(listener_);
+  SetRefusing(true);
   while (!links_.empty()) {
     Close(links_.begin()->first, true);
   }
@@ -121,7 +125,8 @@
 
 void PeerRelay::OnClosed(std::uint64_t id, int side, bool reset) {
   Link& link = *links_.at(id);
-  if ((holds_closed_ || is_dark_) && !link.is_held) {
+  if ((holds_closed_ || is_dark_ || link.is_held) &&
+      link.ends[1 - side].events != nullptr) {
     Free(link.ends[side].events, reset);
     link.ends[side].events = nullptr;
     link.is_held = true;
@@ -137,6 +142,21 @@
   }
 }
 
+void PeerRelay::SetRefusing(bool refuses) {
+  if (refuses && listener_ != nullptr) {
+    evconnlistener_free(listener_);
+    listener_ = nullptr;
+  } else if (!refuses && listener_ == nullptr) {
+    Listen();
+  }
+}
+
+void PeerRelay::SilenceOpen() {
+  for (const auto& [id, link] : links_) {
+    link->is_held = true;
+  }
+}
+
 void PeerRelay::ResetHeld() {
   std::vector<std::uint64_t> held;
   for (const auto& [id, link] : links_) {
--- a/review/stand/peer_relay.h
+++ b/review/stand/peer_relay.h
@@ -29,6 +29,11 @@
   void HoldClosed(bool holds) { holds_closed_ = holds; }
   // While set, new connections get no response.
   void SetDark(bool is_dark) { is_dark_ = is_dark; }
+  // While set, connections are refused, as by a machine without the process.
+  void SetRefusing(bool refuses);
+  // Drops all bytes on the connections that are open now, which stay open also
+  // if one side closes.
+  void SilenceOpen();
   // Resets the ends that were kept open.
   void ResetHeld();
 
@@ -45,6 +50,7 @@
     bool is_held = false;
   };
 
+  void Listen();
   void Accept(int socket);
   void Attach(std::uint64_t id, int side, bufferevent* events);
   void Forward(std::uint64_t id, int side);
--- a/review/stand/scenarios.cc
+++ b/review/stand/scenarios.cc
@@ -259,21 +259,11 @@
                     std::to_string(refused) + " refused");
 }
 
-// --- power -------------------------------------------------------------------
+// --- two runs at once --------------------------------------------------------
 
-// The machine of a node that leads nothing loses power while clients wait there
-// for jobs, and is back after `kDark`. The clients notice that their
-// connections are gone when it is back, and send the jobs again `retransmit_ms`
-// later, to a node of another zone. No task may have two runs at once.
-int PowerLoss(BedOptions options, bool trouble) {
-  constexpr Duration kDark = milliseconds(700);
-  constexpr Duration kRetransmit = milliseconds(1300);
-  constexpr int kJobs = 4;
-  options.relays_peers = true;
-  Bed bed(std::move(options));
-  AddExecutors(bed, 6);
-  bed.on_start = [&](Executor& executor, const std::string& task, int run,
-                     int) {
+void WatchDoubleRuns(Bed& bed) {
+  bed.on_start = [&bed](Executor& executor, const std::string& task, int run,
+                        int) {
     bed.Record("start " + task + " run " + std::to_string(run) + " on " +
                executor.id());
     for (const auto& other : bed.executors()) {
@@ -283,12 +273,15 @@
       }
     }
   };
-  bed.on_end = [&](Executor& executor, const std::string& task, int run,
-                   const std::string& how) {
+  bed.on_end = [&bed](Executor& executor, const std::string& task, int run,
+                      const std::string& how) {
     bed.Record("end " + task + " run " + std::to_string(run) + " on " +
                executor.id() + ": " + how);
   };
-  StartAll(bed);
+}
+
+// A node of the first zone that does not lead it, and one of another zone.
+std::pair<std::size_t, std::size_t> EntryAndOther(Bed& bed) {
   const std::string zone = "shah-alam";
   const std::size_t leader = bed.LeaderOf(zone);
   std::size_t entry = 0;
@@ -299,15 +292,53 @@
   while (bed.nodes()[other].zone != "klang-port") {
     ++other;
   }
-  NodeProcess& node = bed.nodes()[entry];
   bed.Record(bed.nodes()[leader].name + " leads " + zone + "; the jobs go to " +
-             node.name);
+             bed.nodes()[entry].name);
+  return {entry, other};
+}
+
+int FinishDoubleRuns(Bed& bed,
+                     const std::vector<std::string>& ids,
+                     bool trouble) {
+  bed.RunFor(milliseconds(10000), [&] {
+    return std::all_of(ids.begin(), ids.end(), [&](const std::string& id) {
+      return bed.jobs().at(id).answered.has_value();
+    });
+  });
+  std::size_t completed = 0;
+  for (const auto& [id, job] : bed.jobs()) {
+    completed += job.status == 200;
+  }
+  if (!trouble && completed != ids.size()) {
+    throw std::runtime_error("not all jobs were completed");
+  }
+  return bed.Finish(std::to_string(ids.size()) + " jobs, " +
+                    std::to_string(completed) + " answered 200 in the end");
+}
+
+// --- power -------------------------------------------------------------------
+
+// The machine of a node that leads nothing loses power while clients wait there
+// for jobs, and is back after `kDark`. The clients notice that their
+// connections are gone when it is back, and send the jobs again `retransmit_ms`
+// later, to a node of another zone. No task may have two runs at once.
+int PowerLoss(BedOptions options, bool trouble) {
+  constexpr Duration kDark = milliseconds(700);
+  constexpr Duration kRetransmit = milliseconds(1300);
+  constexpr int kJobs = 4;
+  options.relays_peers = true;
+  Bed bed(std::move(options));
+  AddExecutors(bed, 6);
+  WatchDoubleRuns(bed);
+  StartAll(bed);
+  const auto [entry, other] = EntryAndOther(bed);
+  NodeProcess& node = bed.nodes()[entry];
   // Two tasks of 5 s.
   const Json steps = Json::array(
       {{{"count", 2}, {"cpu", 6800}, {"mem_mb", 64}, {"estimate_ms", 5000}}});
   std::vector<std::string> ids;
   for (int number = 0; number < kJobs; ++number) {
-    ids.push_back(bed.Submit(zone, steps, "5000 6800", 9000, entry));
+    ids.push_back(bed.Submit("shah-alam", steps, "5000 6800", 9000, entry));
   }
   bed.RunFor(milliseconds(500));
   if (trouble) {
@@ -330,20 +361,146 @@
       bed.Resubmit(id, other);
     }
   }
-  bed.RunFor(milliseconds(10000), [&] {
-    return std::all_of(ids.begin(), ids.end(), [&](const std::string& id) {
-      return bed.jobs().at(id).answered.has_value();
-    });
-  });
-  int completed = 0;
-  for (const auto& [id, job] : bed.jobs()) {
-    completed += job.status == 200;
+  return FinishDoubleRuns(bed, ids, trouble);
+}
+
+// --- silent ------------------------------------------------------------------
+
+// The open connections of a node that leads nothing go silent towards the other
+// nodes, and those of its clients are reset. New connections work. The clients
+// send their jobs again `retransmit_ms` later, to a node of another zone. No
+// task may have two runs at once.
+int Silent(BedOptions options, bool trouble) {
+  constexpr Duration kRetransmit = milliseconds(1300);
+  constexpr int kJobs = 4;
+  options.relays_peers = true;
+  Bed bed(std::move(options));
+  AddExecutors(bed, 6);
+  WatchDoubleRuns(bed);
+  StartAll(bed);
+  const auto [entry, other] = EntryAndOther(bed);
+  const Json steps = Json::array(
+      {{{"count", 2}, {"cpu", 6800}, {"mem_mb", 64}, {"estimate_ms", 5000}}});
+  std::vector<std::string> ids;
+  for (int number = 0; number < kJobs; ++number) {
+    ids.push_back(bed.Submit("shah-alam", steps, "5000 6800", 9000, entry));
   }
-  if (!trouble && completed != kJobs) {
-    throw std::runtime_error("not all jobs were completed");
+  bed.RunFor(milliseconds(500));
+  if (trouble) {
+    bed.Record("open connections between the nodes go silent");
+    for (NodeProcess& each : bed.nodes()) {
+      each.relay->SilenceOpen();
+    }
+    for (const std::string& id : ids) {
+      bed.ResetClient(id);
+    }
+    bed.RunFor(kRetransmit);
+    for (const std::string& id : ids) {
+      bed.Resubmit(id, other);
+    }
   }
-  return bed.Finish(std::to_string(kJobs) + " jobs, " +
-                    std::to_string(completed) + " answered 200 in the end");
+  return FinishDoubleRuns(bed, ids, trouble);
+}
+
+// --- config ------------------------------------------------------------------
+
+// Some time after the leader of a zone was killed and has started again, all
+// open connections between the nodes and to the store go silent; new ones work.
+// Right after that the operator adds a route. A machine is in touch
+// `contact_ms` after the disruption; from then on, and later than
+// `config_apply_ms` after the acknowledgement, it must know the route.
+int Config(BedOptions options, bool trouble) {
+  constexpr Duration kApply = milliseconds(2000);
+  options.relays_peers = true;
+  options.relays_store = true;
+  // The spare machines of the site have been added.
+  options.nodes.emplace_back("front-shah-alam-4", "shah-alam");
+  options.nodes.emplace_back("front-klang-port-3", "klang-port");
+  options.nodes.emplace_back("front-rawang-2", "rawang");
+  Bed bed(std::move(options));
+  AddExecutors(bed, 6);
+  StartAll(bed);
+  // The leaders of two zones are killed, and start again.
+  for (const char* const zone :
+       {"shah-alam", "klang-port", "shah-alam", "klang-port"}) {
+    NodeProcess& leader = bed.nodes()[bed.LeaderOf(zone)];
+    bed.Record(leader.name + ", leader of " + zone + ", is killed");
+    leader.relay->SetRefusing(true);
+    bed.SignalNode(leader, SIGKILL);
+    bed.RunFor(milliseconds(1500));
+    leader.relay->SetRefusing(false);
+    bed.LaunchNode(leader);
+    bed.RunFor(milliseconds(1500));
+  }
+  const Json steps = Json::array(
+      {{{"count", 1}, {"cpu", 2000}, {"mem_mb", 64}, {"estimate_ms", 300}}});
+  // A burst, then few jobs.
+  for (std::size_t node = 0; node < bed.nodes().size(); ++node) {
+    for (int number = 0; number < 12; ++number) {
+      bed.Submit(bed.nodes()[node].zone, steps, "300 2000", 1500, node);
+    }
+  }
+  bed.RunFor(kContact - milliseconds(400));
+  for (const char* const zone : {"shah-alam", "klang-port", "rawang"}) {
+    bed.Record(bed.nodes()[bed.LeaderOf(zone)].name + " leads " + zone);
+  }
+  const TimePoint silenced = bed.runtime().Now();
+  if (trouble) {
+    bed.Record("open connections between nodes and to the store go silent");
+    for (NodeProcess& node : bed.nodes()) {
+      node.relay->SilenceOpen();
+      node.store_relay->SilenceOpen();
+    }
+  }
+  bed.RunFor(milliseconds(100));
+  bed.PutConfiguration(8, {"/desk/", "/new/"});
+  const TimePoint acknowledged = bed.runtime().Now();
+  bed.Record("version 8 with the route /new/ is acknowledged");
+  std::vector<std::optional<std::int64_t>> known(bed.nodes().size());
+  std::size_t asked = 0;
+  while (bed.runtime().Now() < silenced + milliseconds(8000)) {
+    for (std::size_t node = 0; node < bed.nodes().size(); ++node) {
+      const TimePoint sent = bed.runtime().Now();
+      const bool is_owed = sent > silenced + kContact + milliseconds(20) &&
+                           sent > acknowledged + kApply;
+      bed.Call(
+          node, Method::kGet, "/new/",
+          [&, node, sent, is_owed](int status, const std::string&) {
+            ++asked;
+            const auto after = jaypick::ToMilliseconds(sent - acknowledged);
+            if (status == 200 && !known[node]) {
+              known[node] = after;
+              bed.Record(bed.nodes()[node].name + " knows the route " +
+                         std::to_string(after) + " ms after");
+            }
+            if (status == 404 && is_owed) {
+              bed.Violation(
+                  "CONFIG: " + bed.nodes()[node].name +
+                  " answers 404 to a request sent " + std::to_string(after) +
+                  " ms after the acknowledgement, " +
+                  std::to_string(jaypick::ToMilliseconds(sent - silenced)) +
+                  " ms after the disruption");
+            }
+          });
+    }
+    bed.RunFor(milliseconds(100));
+  }
+  bed.RunFor(milliseconds(500));
+  return bed.Finish(std::to_string(asked) + " requests on the new route");
+}
+
+// Only serves, for trials from outside.
+int Serve(BedOptions options) {
+  Bed bed(std::move(options));
+  AddExecutors(bed, 6);
+  StartAll(bed);
+  for (const NodeProcess& node : bed.nodes()) {
+    printf("%s %d %d %d %d\n", node.name.c_str(), node.callers->value(),
+           node.peer->value(), node.ready->value(), node.pid);
+  }
+  fflush(stdout);
+  bed.RunFor(std::chrono::seconds(60));
+  return 0;
 }
 
 }  // namespace
@@ -355,9 +512,18 @@
   if (name == "label") {
     return Restart(std::move(options), trouble, false);
   }
+  if (name == "serve") {
+    return Serve(std::move(options));
+  }
   if (name == "power") {
     return PowerLoss(std::move(options), trouble);
   }
+  if (name == "silent") {
+    return Silent(std::move(options), trouble);
+  }
+  if (name == "config") {
+    return Config(std::move(options), trouble);
+  }
   if (name == "capacity") {
     return Restart(std::move(options), trouble, true);
   }
