--- a/review/stand/bed.cc
+++ b/review/stand/bed.cc
@@ -23,7 +23,6 @@
 using jaypick::http::Response;
 
 constexpr Duration kTick = milliseconds(2);
-constexpr Duration kHeartbeat = milliseconds(1500);
 constexpr Duration kHoldMax = milliseconds(1000);
 constexpr std::size_t kEndsPerList = 500;
 
@@ -99,7 +98,6 @@
 }
 
 void Executor::Register(const std::string& state) {
-  next_beat_ = bed_.runtime().Now() + kHeartbeat;
   bed_.store().Put(
       "servers/" + options_.id,
       Json{{"service", options_.service},
@@ -300,9 +298,6 @@
 
 void Executor::Tick() {
   const TimePoint now = bed_.runtime().Now();
-  if (now >= next_beat_) {
-    Register("ready");
-  }
   std::vector<std::pair<std::string, std::string>> over;
   for (const auto& [task, run] : runs_) {
     if (now >= lease_) {
--- a/review/stand/bed.h
+++ b/review/stand/bed.h
@@ -70,7 +70,8 @@
   void Start(Kind kind);
   // Ends the process: connections are closed, runs and all knowledge are gone.
   void Crash();
-  // Writes the entry of the present life.
+  // Writes the entry of the present life. A heartbeat that changes nothing but
+  // `seq` leaves the entry as it is, so none is written.
   void Register(const std::string& state);
   // Removes the entry, as the platform does after three silent heartbeats.
   void RemoveEntry();
@@ -116,7 +117,6 @@
   std::vector<End> ends_;
   std::uint64_t last_end_ = 0;
   std::list<PendingPoll> polls_;
-  TimePoint next_beat_;
   jaypick::node::Timer timer_;
 };
 
--- a/review/stand/scenarios.cc
+++ b/review/stand/scenarios.cc
@@ -51,6 +51,14 @@
   bed.RunFor(kContact + milliseconds(1000));
 }
 
+void RecordEnds(Bed& bed) {
+  bed.on_end = [&bed](Executor& executor, const std::string& task, int run,
+                      const std::string& how) {
+    bed.Record("end " + task + " run " + std::to_string(run) + " on " +
+               executor.id() + ": " + how);
+  };
+}
+
 // --- cancel ------------------------------------------------------------------
 
 // A job is cancelled while it runs. From `cancel_ms` after the answer to the
@@ -179,6 +187,7 @@
                     executor.id() + " has " + labels.front());
     }
   };
+  RecordEnds(bed);
   StartAll(bed);
   const TimePoint end = bed.runtime().Now() + milliseconds(28000);
   const auto submit = [&] {
@@ -400,6 +409,12 @@
   options.nodes.emplace_back("front-rawang-2", "rawang");
   Bed bed(std::move(options));
   AddExecutors(bed, 6);
+  bed.on_start = [&bed](Executor& executor, const std::string& task, int run,
+                        int) {
+    bed.Record("start " + task + " run " + std::to_string(run) + " on " +
+               executor.id());
+  };
+  RecordEnds(bed);
   StartAll(bed);
   // The leaders of two zones are killed in turn, and start again.
   for (int kill = 0; kill < 8; ++kill) {
