--- a/review/stand/scenarios.cc
+++ b/review/stand/scenarios.cc
@@ -173,6 +173,8 @@
 // requires.
 int Label(BedOptions options, bool trouble) {
   const std::string label = "b";
+  // Rack and room stay with the machine, so only the kind changes.
+  const Executor::Kind other_kind{.labels = kSmall.labels, .cpu = kLarge.cpu};
   Bed bed(std::move(options));
   AddExecutors(bed, 6);
   std::size_t starts = 0;
@@ -212,13 +214,13 @@
   };
   next();
   if (trouble) {
-    // Each large executor in turn: down for 1 s, then back as a small one, and
-    // 4 s later back as a large one in the same way.
+    // Each third executor in turn: down for 1 s, then back as the other kind,
+    // and 4 s later back as the first kind in the same way.
     Duration at = milliseconds(3000);
     for (const int number : {2, 8, 14}) {
       Executor* const executor = bed.executors()[number].get();
       const std::string rack = executor->kind().labels.back();
-      for (const Executor::Kind& kind : {kSmall, kLarge}) {
+      for (const Executor::Kind& kind : {other_kind, kLarge}) {
         bed.After(at, [&bed, executor] {
           bed.Record("crash of " + executor->id());
           executor->Crash();
@@ -419,6 +421,10 @@
   // The leaders of two zones are killed in turn, and start again.
   for (int kill = 0; kill < 8; ++kill) {
     const std::string zone = kill % 2 == 0 ? "shah-alam" : "klang-port";
+    if (!trouble) {
+      bed.RunFor(milliseconds(2200));
+      continue;
+    }
     NodeProcess& leader = bed.nodes()[bed.LeaderOf(zone)];
     bed.Record(leader.name + ", leader of " + zone + ", is killed");
     leader.relay->SetRefusing(true);
@@ -464,6 +470,9 @@
           [&, node, sent, is_owed](int status, const std::string&) {
             ++asked;
             const auto after = jaypick::ToMilliseconds(sent - acknowledged);
+            bed.Record("GET /new/ sent to " + bed.nodes()[node].name + " " +
+                       std::to_string(after) + " ms after, answered " +
+                       std::to_string(status));
             if (status == 200 && !known[node]) {
               known[node] = after;
               bed.Record(bed.nodes()[node].name + " knows the route " +
