Keep a forwarded job at work only while its own process waits for it

Callers saw: two runs of one task (TWICE), as an instance that had forwarded their jobs lost power, was back after 0.5 s, and they submitted the jobs again in another domain. Cause: a leader drops the jobs of an instance not heard of for 0.9 s, but kept that time by the instance's name, so pings of the next process there vouched for the lost one. Change: a forwarded job is worked on under a lease of 0.9 s that belongs to the process which forwarded it and is counted from when that process sent its last ping, on the leader's clock. Forwarded jobs and pings name the process that they are meant for. In the same class, by reading: deadlines were computed by the clock of an earlier process at the address; requests of two processes of an instance were ordered by their clocks; a request was accepted however long it had been held up; a ping just after a pause vouched for callers whose connections had not been read yet. Why it works: nothing but a message that this very process sent less than 0.9 s ago keeps the job at work, so its runs end before the caller's resubmission 1.3 s after the break.

--- a/src/node/caller_server.cc
+++ b/src/node/caller_server.cc
@@ -553,7 +553,8 @@
 bool CallerServer::ForwardTo(const std::string& id,
                              Job& job,
                              const control::Leadership& leadership) {
-  const auto deadline = peers_.DeadlineAt(leadership.address, job.deadline);
+  const auto deadline = peers_.ToClockOf(leadership.address,
+                                         leadership.incarnation, job.deadline);
   if (!deadline) {
     return false;
   }
@@ -570,8 +571,9 @@
       .elapsed = now - job.arrival,
       .deadline_us = *deadline,
       .sent_us = now.time_since_epoch().count(),
-      .required_incarnation =
-          job.active ? job.active->leadership.incarnation : std::string(),
+      .sent_at_us = peers_.ToClockOf(leadership.address, leadership.incarnation,
+                                     runtime_.ReadUntil()),
+      .required_incarnation = leadership.incarnation,
       .entry_incarnation = leadership_manager_.OwnRecord().incarnation,
       .inactive_at = job.inactive_at,
       .registrar_token =
--- a/src/node/peer_messages.cc
+++ b/src/node/peer_messages.cc
@@ -275,6 +275,13 @@
           .age = Duration(value.at("age_us"))};
 }
 
+std::optional<std::int64_t> OptionalIntegerFrom(const json& value,
+                                                const char* member) {
+  return value.contains(member)
+             ? std::optional(value.at(member).get<std::int64_t>())
+             : std::nullopt;
+}
+
 json ToJson(const JobLocation& location) {
   return {{"domain", location.leadership.failure_domain},
           {"incarnation", location.leadership.incarnation},
@@ -355,16 +362,20 @@
 }  // namespace
 
 std::string Encode(const ForwardedJob& message) {
-  return Dump({{"job", ToJson(message.spec)},
-               {"domain", message.failure_domain},
-               {"instance", message.instance},
-               {"elapsed_us", message.elapsed.count()},
-               {"deadline_us", message.deadline_us},
-               {"sent_us", message.sent_us},
-               {"required_incarnation", message.required_incarnation},
-               {"entry_incarnation", message.entry_incarnation},
-               {"inactive_at", message.inactive_at},
-               {"registrar_token", message.registrar_token}});
+  json value = {{"job", ToJson(message.spec)},
+                {"domain", message.failure_domain},
+                {"instance", message.instance},
+                {"elapsed_us", message.elapsed.count()},
+                {"deadline_us", message.deadline_us},
+                {"sent_us", message.sent_us},
+                {"required_incarnation", message.required_incarnation},
+                {"entry_incarnation", message.entry_incarnation},
+                {"inactive_at", message.inactive_at},
+                {"registrar_token", message.registrar_token}};
+  if (message.sent_at_us) {
+    value["sent_at_us"] = *message.sent_at_us;
+  }
+  return Dump(value);
 }
 
 std::optional<ForwardedJob> DecodeForwardedJob(std::string_view text) {
@@ -376,6 +387,7 @@
         .elapsed = Duration(value.at("elapsed_us")),
         .deadline_us = value.at("deadline_us"),
         .sent_us = value.value("sent_us", std::int64_t{0}),
+        .sent_at_us = OptionalIntegerFrom(value, "sent_at_us"),
         .required_incarnation = value.value("required_incarnation", ""),
         // Nodes of earlier versions do not send the following.
         .entry_incarnation = value.value("entry_incarnation", ""),
@@ -455,6 +467,10 @@
           {{"domain", domain.failure_domain}, {"token", domain.token}});
     }
   }
+  if (message.sent) {
+    value["sent"] = {{"incarnation", message.sent->incarnation},
+                     {"clock_us", message.sent->clock_us}};
+  }
   return Dump(value);
 }
 
@@ -472,6 +488,11 @@
                                    .token = domain.at("token")});
       }
     }
+    if (value.contains("sent")) {
+      const json& sent = value.at("sent");
+      ping.sent = ProcessTime{.incarnation = sent.at("incarnation"),
+                              .clock_us = sent.at("clock_us")};
+    }
     return ping;
   });
 }
--- a/src/node/peer_messages.h
+++ b/src/node/peer_messages.h
@@ -25,6 +25,15 @@
 inline constexpr char kSnapshotPath[] = "/v1/peer/view";
 inline constexpr char kDelegationPath[] = "/v1/peer/command";
 
+// A time on the clock of one process. Clocks of different processes cannot be
+// compared, not even those of one instance.
+struct ProcessTime {
+  std::string incarnation;
+  std::int64_t clock_us = 0;
+
+  friend bool operator==(const ProcessTime&, const ProcessTime&) = default;
+};
+
 // Where runs of a job may be active, and for how long.
 struct JobLocation {
   control::Leadership leadership;
@@ -48,8 +57,12 @@
   // Time of sending on the sender's clock. Orders the requests of an instance
   // for one job, which may arrive on different connections in any order.
   std::int64_t sent_us = 0;
-  // If not empty, only this process may accept the job: runs of an earlier
-  // submission may be active under its leadership.
+  // The same on the receiver's clock, like the deadline never too late. Absent
+  // in messages of nodes of earlier versions.
+  std::optional<std::int64_t> sent_at_us;
+  // The only process that may accept the job. The times on the receiver's clock
+  // are meant for it, and runs of an earlier submission may be active under its
+  // leadership. Empty in messages of nodes of earlier versions.
   std::string required_incarnation;
   // The process of the instance that received the job.
   std::string entry_incarnation;
@@ -212,6 +225,10 @@
   std::optional<std::uint64_t> losses_after;
   // Domains whose jobs the sender asks for, see `PingResponse::jobs`.
   std::vector<TakenOverDomain> taken_over;
+  // When the sender last knew which of its callers waited, on the receiver's
+  // clock and never too late. Without an incarnation before the receiver's
+  // first response; absent in messages of nodes of earlier versions.
+  std::optional<ProcessTime> sent;
 
   friend bool operator==(const Ping&, const Ping&) = default;
 };
--- a/src/node/peer_server.cc
+++ b/src/node/peer_server.cc
@@ -15,11 +15,8 @@
 constexpr int kBadRequest = 400;
 constexpr std::size_t kConnectionLimit = 3000;
 constexpr std::size_t kBodyLimitBytes = std::size_t{4} * 1024 * 1024;
-// Jobs forwarded by an instance are dropped after this time without a message
-// from it: it may have lost its callers, which submit their jobs again
-// elsewhere after 1.3 s at the earliest.
-constexpr Duration kInstanceSilenceLimit = std::chrono::milliseconds(900);
-constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
+// Interval of the check for expired forwarding leases.
+constexpr Duration kCheckInterval = std::chrono::milliseconds(50);
 // Maximum number of losses of upstreams in one ping response; the next
 // responses hold the others.
 constexpr std::size_t kMaxLossesPerResponse = 64;
@@ -54,7 +51,7 @@
       view_(view),
       peers_(peers),
       snapshot_exchange_(snapshot_exchange),
-      timer_(runtime.base(), [this] { DropJobsOfSilentInstances(); }),
+      timer_(runtime.base(), [this] { DropJobsWithExpiredLeases(); }),
       server_(runtime.base(),
               {.address = settings.peer,
                .body_limit_bytes = kBodyLimitBytes,
@@ -114,7 +111,11 @@
   const std::string& required = message->required_incarnation;
   const bool is_leader = domain_leader != nullptr &&
                          (required.empty() || required == incarnation_);
-  if (!is_leader ||
+  const TimePoint sent_at =
+      message->sent_at_us ? TimePoint(Duration(*message->sent_at_us)) : now;
+  // The caller may have left while the request was held up.
+  const bool is_late = now - sent_at >= control::kForwardingLease;
+  if (!is_leader || is_late ||
       (domain_leader->is_draining() &&
        !domain_leader->HasJob(message->spec.id)) ||
       IsOutdated(*message)) {
@@ -122,7 +123,7 @@
         .outcome =
             schedule::Refused{.reason = schedule::RefusalReason::kNoUpstream},
         .is_not_leader = true,
-        .is_inactive = is_leader && domain_leader->is_draining() &&
+        .is_inactive = is_leader && !is_late && domain_leader->is_draining() &&
                        !domain_leader->has_been_fenced()})));
     return;
   }
@@ -156,12 +157,13 @@
   const std::uint64_t number = ++last_number_;
   Job& job = forwarded_jobs_[number];
   job.instance = message->instance;
+  job.entry_incarnation = message->entry_incarnation;
   job.sent_us = message->sent_us;
+  job.sent_at = sent_at;
   job.failure_domain = message->failure_domain;
   job.id = message->spec.id;
   job.responder = std::make_unique<http::Responder>(std::move(responder));
   job.responder->OnClosed([this, number] { RemoveWaiter(number, "closed"); });
-  last_heard_[job.instance] = now;
   const std::uint64_t waiter = domain_leader->Submit(
       {.spec = std::move(message->spec),
        .arrival = now - message->elapsed,
@@ -175,7 +177,7 @@
   if (it != forwarded_jobs_.end()) {
     it->second.waiter = waiter;
   }
-  // An instance waits for one request for each job only.
+  // A process waits for one request for each job only.
   for (const std::uint64_t earlier : replaced) {
     RemoveWaiter(earlier, "forwarded_again");
   }
@@ -193,7 +195,8 @@
     const ForwardedJob& message) const {
   std::vector<std::uint64_t> numbers;
   for (const auto& [number, job] : forwarded_jobs_) {
-    if (job.id == message.spec.id && job.instance == message.instance &&
+    if (job.id == message.spec.id &&
+        job.entry_incarnation == message.entry_incarnation &&
         job.failure_domain == message.failure_domain) {
       numbers.push_back(number);
     }
@@ -281,20 +284,30 @@
   }
 }
 
-void PeerServer::DropJobsOfSilentInstances() {
+void PeerServer::DropJobsWithExpiredLeases() {
   const TimePoint now = runtime_.Now();
-  std::vector<std::uint64_t> silent;
+  std::vector<std::uint64_t> expired;
   for (const auto& [number, job] : forwarded_jobs_) {
-    if (now - last_heard_[job.instance] >= kInstanceSilenceLimit) {
-      silent.push_back(number);
+    if (leases_.HasExpired(now, job.entry_incarnation, job.sent_at)) {
+      expired.push_back(number);
     }
   }
-  for (const std::uint64_t number : silent) {
-    RemoveWaiter(number, "instance_silent");
+  for (const std::uint64_t number : expired) {
+    RemoveWaiter(number, "lease_expired");
   }
   timer_.After(kCheckInterval);
 }
 
+void PeerServer::ExtendLease(const Ping& ping) {
+  const TimePoint now = runtime_.Now();
+  if (!ping.sent) {
+    leases_.Extend(now, ping.sender.incarnation, now);
+  } else if (ping.sent->incarnation == incarnation_) {
+    leases_.Extend(now, ping.sender.incarnation,
+                   std::min(now, TimePoint(Duration(ping.sent->clock_us))));
+  }
+}
+
 void PeerServer::OnPing(const http::Request& request,
                         http::Responder responder) {
   const auto ping = DecodePing(request.body);
@@ -303,7 +316,7 @@
     return;
   }
   const TimePoint now = runtime_.Now();
-  last_heard_[ping->sender.instance] = now;
+  ExtendLease(*ping);
   leadership_manager_.OnPing(*ping);
   for (const std::string& domain : ping->requested_domains) {
     // The sender is in the domain or has a larger processor share, so it is the
--- a/src/node/peer_server.h
+++ b/src/node/peer_server.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "control/forwarding_lease.h"
 #include "http/server.h"
 #include "node/leadership_manager.h"
 #include "node/peer_messages.h"
@@ -38,8 +39,12 @@
 
  private:
   struct Job {
+    // Time of sending on the clocks of the entry and of this node.
     std::int64_t sent_us = 0;
+    TimePoint sent_at;
     std::string instance;
+    // The process that forwarded the job.
+    std::string entry_incarnation;
     std::string failure_domain;
     std::string id;
     std::uint64_t waiter = 0;
@@ -49,6 +54,8 @@
   void OnForwardedJob(const http::Request& request, http::Responder responder);
   void OnRegistration(const http::Request& request, http::Responder responder);
   void OnPing(const http::Request& request, http::Responder responder);
+  // Extends the lease of the jobs that the sender has forwarded.
+  void ExtendLease(const Ping& ping);
   void OnDelegation(const http::Request& request, http::Responder responder);
   void OnJobResult(std::uint64_t number, const JobResult& result);
   ForwardedJobResponse ResponseFor(const Job& job,
@@ -56,10 +63,10 @@
   ForwardedJobResponse ResponseFor(const Job& job,
                                    const control::RegisteredJob& active) const;
   bool IsOutdated(const ForwardedJob& message) const;
-  // Requests of the same instance for the same job that have not ended.
+  // Requests of the same process for the same job that have not ended.
   std::vector<std::uint64_t> ForwardsOf(const ForwardedJob& message) const;
   void RemoveWaiter(std::uint64_t number, std::string_view cause);
-  void DropJobsOfSilentInstances();
+  void DropJobsWithExpiredLeases();
 
   Runtime& runtime_;
   const NodeSettings& settings_;
@@ -69,7 +76,7 @@
   Peers& peers_;
   SnapshotExchange& snapshot_exchange_;
   std::map<std::uint64_t, Job> forwarded_jobs_;
-  std::map<std::string, TimePoint> last_heard_;
+  control::ForwardingLeases leases_;
   std::uint64_t last_number_ = 0;
   Timer timer_;
   http::Server server_;
--- a/src/node/peers.cc
+++ b/src/node/peers.cc
@@ -234,13 +234,15 @@
   });
 }
 
-std::optional<std::int64_t> Peers::DeadlineAt(const Address& peer,
-                                              TimePoint deadline) {
+std::optional<std::int64_t> Peers::ToClockOf(const Address& peer,
+                                             const std::string& incarnation,
+                                             TimePoint time) const {
   const auto it = peers_.find(peer);
-  if (it == peers_.end() || it->second.last_response == TimePoint()) {
+  if (it == peers_.end() || it->second.last_response == TimePoint() ||
+      it->second.incarnation != incarnation) {
     return std::nullopt;
   }
-  return it->second.clock_us + (deadline - it->second.last_response).count();
+  return it->second.clock_us + (time - it->second.last_response).count();
 }
 
 std::uint64_t Peers::Send(const Address& peer,
@@ -344,15 +346,25 @@
                         OnPingResult(address, result);
                       });
   }
-  timer_.After(predecessors_.empty() ? options_.ping_interval
-                                     : options_.hand_over_interval);
+  Duration interval = predecessors_.empty() ? options_.ping_interval
+                                            : options_.hand_over_interval;
+  // Pings sent now extend no forwarding lease beyond the pause.
+  if (runtime_.HasJustResumed()) {
+    interval = std::min(interval, Runtime::kResumeTime);
+  }
+  timer_.After(interval);
 }
 
 std::string Peers::EncodePingTo(const Address& address) {
   Ping ping = ping_();
+  const Peer& peer = peers_[address];
   if (NeedsLossesOf(address, ping.sender.failure_domain)) {
-    ping.losses_after = peers_[address].losses_until;
+    ping.losses_after = peer.losses_until;
   }
+  const auto sent = ToClockOf(address, peer.incarnation, runtime_.ReadUntil());
+  ping.sent =
+      sent ? ProcessTime{.incarnation = peer.incarnation, .clock_us = *sent}
+           : ProcessTime();
   return Encode(ping);
 }
 
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -119,10 +119,12 @@
   // True if the store responds to some other leader that is alive.
   bool IsStoreConnectedToLeaderOtherThan(const std::string& instance);
 
-  // Converts `deadline` to the clock of the peer. The result is never later
-  // than `deadline`; nullopt before the peer's first response.
-  std::optional<std::int64_t> DeadlineAt(const Address& peer,
-                                         TimePoint deadline);
+  // Converts `time` to the clock of the process `incarnation` at `peer`. The
+  // result is never later than `time`; nullopt unless that process has sent the
+  // peer's last response.
+  std::optional<std::int64_t> ToClockOf(const Address& peer,
+                                        const std::string& incarnation,
+                                        TimePoint time) const;
 
   // Sends a request to a peer.
   //
--- a/src/node/runtime.cc
+++ b/src/node/runtime.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <ctime>
+#include <utility>
 
 #include "http/evhttp_conversions.h"
 
@@ -16,8 +17,6 @@
 // After each punctual tick the lag decays to two thirds.
 constexpr int kLagDecayNumerator = 2;
 constexpr int kLagDecayDenominator = 3;
-// Time after a pause in which all requests that had waited in sockets are read.
-constexpr Duration kResumeTime = std::chrono::milliseconds(50);
 
 TimePoint ReadClock() {
   timespec time{};
@@ -62,9 +61,10 @@
 
 TimePoint Runtime::Now() {
   const TimePoint now = std::max(ReadClock(), last_now_);
-  const Duration gap = now - last_now_;
-  last_now_ = now;
+  const TimePoint previous = std::exchange(last_now_, now);
+  const Duration gap = now - previous;
   if (gap >= kPauseThreshold) {
+    paused_at_ = previous;
     resumed_at_ = now;
     if (on_pause_) {
       on_pause_(gap);
@@ -78,6 +78,10 @@
   return resumed_at_ != TimePoint() && now - resumed_at_ < kResumeTime;
 }
 
+TimePoint Runtime::ReadUntil() {
+  return HasJustResumed() ? paused_at_ : Now();
+}
+
 void Runtime::Tick() {
   const TimePoint now = Now();
   const Duration late = std::max(Duration(0), now - next_tick_);
--- a/src/node/runtime.h
+++ b/src/node/runtime.h
@@ -48,6 +48,10 @@
   // length of time.
   bool HasJustResumed();
 
+  // Requests and ends of connections that had arrived by then have been read:
+  // the present, or the time before a pause while `HasJustResumed`.
+  TimePoint ReadUntil();
+
   // Current delay of the event loop: the delay of its ticks, which decays
   // within half a second.
   Duration lag() const { return lag_; }
@@ -60,12 +64,16 @@
   // Longer than the throttling by a CPU quota, which stops a process for up to
   // 100 ms at a time.
   static constexpr Duration kPauseThreshold = std::chrono::milliseconds(400);
+  // Time after a pause in which all requests that had waited in sockets are
+  // read.
+  static constexpr Duration kResumeTime = std::chrono::milliseconds(50);
 
  private:
   void Tick();
 
   event_base* base_;
   TimePoint last_now_;
+  TimePoint paused_at_;
   TimePoint resumed_at_;
   TimePoint next_tick_;
   Duration lag_{0};
--- a/standins/relay.cc
+++ b/standins/relay.cc
@@ -135,7 +135,7 @@
   const auto on_event = [](bufferevent*, short what, void* self) {
     const auto* const it = static_cast<LinkEnd*>(self);
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-      it->relay->Close(it->link, (what & BEV_EVENT_ERROR) != 0);
+      it->relay->OnEnd(*it, (what & BEV_EVENT_ERROR) != 0);
     }
   };
   bufferevent_setcb(events, on_read, nullptr, on_event, &end);
@@ -191,6 +191,14 @@
   }
 }
 
+void Relay::OnEnd(const LinkEnd& end, bool reset) {
+  if (holds_closed_ && links_.at(end.link)->silent) {
+    bufferevent_disable(end.events, EV_READ | EV_WRITE);
+    return;
+  }
+  Close(end.link, reset);
+}
+
 void Relay::CloseAll() {
   while (!links_.empty()) {
     Close(links_.begin()->first, /*reset=*/true);
@@ -214,6 +222,7 @@
         std::chrono::milliseconds(body.value(kDelayFields[direction], both));
     state.swallow = body.value(kSwallowFields[direction], state.swallow);
   }
+  holds_closed_ = body.value("hold_closed", holds_closed_);
   if (body.value("silence_open", false)) {
     for (const auto& [id, link] : links_) {
       link->silent = true;
--- a/standins/relay.h
+++ b/standins/relay.h
@@ -40,6 +40,8 @@
 //   "silence_open"         true: drop all bytes in both directions on the
 //                          connections that are open now, until they close;
 //                          new connections are not affected
+//   "hold_closed"          true: the other end of a silent connection stays
+//                          open, without a message, when one end closes
 //   "cut"                  true: reset open connections and refuse new ones;
 //                          false: accept connections again
 // POST /reset_open resets the open connections; new ones are not affected.
@@ -79,6 +81,7 @@
   void Forward(std::uint64_t id, Direction direction);
   void Deliver(std::uint64_t id, Direction direction, const std::string& bytes);
   void Close(std::uint64_t id, bool reset);
+  void OnEnd(const LinkEnd& end, bool reset);
   void CloseAll();
   void CloseClients();
   void SetFaults(const Json& body);
@@ -88,6 +91,7 @@
   evconnlistener* listener_ = nullptr;
   PortHolder port_;
   DirectionState directions_[2];
+  bool holds_closed_ = false;
   std::uint64_t next_id_ = 1;
   std::map<std::uint64_t, std::unique_ptr<Link>> links_;
   WireServer control_;
--- a/tests/peer_messages_test.cc
+++ b/tests/peer_messages_test.cc
@@ -158,6 +158,7 @@
       .elapsed = Duration(5),
       .deadline_us = 6,
       .sent_us = 7,
+      .sent_at_us = 8,
       .required_incarnation = "3-4",
       .entry_incarnation = "1-2",
       .inactive_at = "5-6"};
--- a/tests/peer_server_test.cc
+++ b/tests/peer_server_test.cc
@@ -15,6 +15,7 @@
 #include <variant>
 #include <vector>
 
+#include "control/forwarding_lease.h"
 #include "node/peer_messages.h"
 
 namespace jaypick::testing {
@@ -74,6 +75,17 @@
     return *answer;
   }
 
+  // Sends a message and drops the response.
+  void SendAsync(const std::string& path, std::string body) {
+    client_.Send({.host = "127.0.0.1", .port = rig.PeerPort(0)},
+                 {.method = http::Method::kPost,
+                  .path = path,
+                  .query = {},
+                  .headers = {},
+                  .body = std::move(body)},
+                 [](const http::ClientResult& /*result*/) {});
+  }
+
   // A job with one task of 50 ms.
   node::ForwardedJob Job(const std::string& id) {
     return {
@@ -168,6 +180,74 @@
   cr_assert(!pair.Forward(pair.Job(kFiller)).is_not_leader);
 }
 
+// Guards against a request that is processed long after it was sent, when the
+// caller may have left (TWICE).
+Test(peer_server, job_that_was_held_up_is_not_accepted) {
+  LeaderAndPeer pair;
+  const auto forward_sent = [&](Duration age) {
+    node::ForwardedJob job = pair.Job(kJob);
+    job.sent_at_us = (pair.rig.runtime.Now() - age).time_since_epoch().count();
+    return pair.Forward(job);
+  };
+  const auto refused = forward_sent(control::kForwardingLease);
+  cr_assert(refused.is_not_leader);
+  cr_assert(!refused.is_inactive);
+  cr_assert_eq(pair.rig.run_monitor.started, 0);
+  cr_assert(IsCompleted(forward_sent(control::kForwardingLease / 2)));
+}
+
+// Guards against a request that is taken for older than one of an earlier
+// process of the same instance, whose clock was ahead.
+Test(peer_server, requests_of_different_processes_are_not_ordered) {
+  LeaderAndPeer pair;
+  node::ForwardedJob job = pair.Job(kJob);
+  job.sent_us = 1000;
+  job.spec.payload = "500";
+  pair.SendAsync(node::kForwardedJobPath, Encode(job));
+  cr_assert(pair.rig.loop.RunUntil(
+      [&] { return pair.rig.run_monitor.started == 1; }));
+  job.sent_us = 1;
+  job.entry_incarnation = "e2";
+  cr_assert(IsCompleted(pair.Forward(job)));
+  cr_assert_eq(pair.rig.run_monitor.started, 1);
+}
+
+// Guards against a job that a later process of an instance, or a ping which was
+// held up, keeps at work although its caller may have left (TWICE).
+Test(peer_server, only_a_recent_ping_of_its_process_keeps_a_job_at_work) {
+  const auto ends_early = [](const std::string& incarnation, Duration age) {
+    LeaderAndPeer pair;
+    node::ForwardedJob job = pair.Job(kJob);
+    job.spec.payload = "1800";
+    job.deadline_us += 2'000'000;
+    job.sent_at_us = pair.rig.runtime.Now().time_since_epoch().count();
+    pair.SendAsync(node::kForwardedJobPath, Encode(job));
+    const TimePoint end = pair.rig.runtime.Now() + milliseconds(1500);
+    while (pair.rig.runtime.Now() < end) {
+      pair.SendAsync(
+          node::kPingPath,
+          Encode(node::Ping{
+              .sender = {.instance = "peer",
+                         .failure_domain = "ghent",
+                         .incarnation = incarnation,
+                         .address = {.host = "127.0.0.1", .port = 7009}},
+              .sent =
+                  node::ProcessTime{.incarnation = pair.incarnation(),
+                                    .clock_us = (pair.rig.runtime.Now() - age)
+                                                    .time_since_epoch()
+                                                    .count()}}));
+      pair.rig.loop.RunFor(100);
+    }
+    cr_assert_eq(pair.rig.run_monitor.started, 1);
+    return pair.rig.upstreams[0]->running() + pair.rig.upstreams[1]->running() +
+               pair.rig.upstreams[2]->running() ==
+           0;
+  };
+  cr_assert(!ends_early("e1", Duration(0)));
+  cr_assert(ends_early("e2", Duration(0)));
+  cr_assert(ends_early("e1", control::kForwardingLease));
+}
+
 // Guards against a node that says a job has no runs in a domain which it does
 // not lead.
 Test(peer_server, node_without_the_leadership_does_not_speak_for_it) {
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -8,6 +8,7 @@
 // clang-format on
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -65,15 +66,19 @@
   FakeLeader(testing::EventLoop& loop, const std::string& domain)
       : failure_domain(domain),
         server(loop.base(), {.address = {.host = "127.0.0.1", .port = 0}}) {
-    server.Handle(http::Method::kPost, kPingPath,
-                  [this](const http::Request&, http::Responder responder) {
-                    ++pings;
-                    if (is_silent) {
-                      held.push_back(std::move(responder));
-                      return;
-                    }
-                    responder.Send({.body = Encode(Response())});
-                  });
+    server.Handle(
+        http::Method::kPost, kPingPath,
+        [this](const http::Request& request, http::Responder responder) {
+          ++pings;
+          if (const auto ping = DecodePing(request.body)) {
+            last_sent = ping->sent;
+          }
+          if (is_silent) {
+            held.push_back(std::move(responder));
+            return;
+          }
+          responder.Send({.body = Encode(Response())});
+        });
   }
 
   LeaderRecord Record() const {
@@ -106,6 +111,8 @@
   bool is_silent = false;
   int pings = 0;
   std::vector<http::Responder> held;
+  // From the last ping.
+  std::optional<ProcessTime> last_sent;
   http::Server server;
 };
 
@@ -182,6 +189,34 @@
   cr_assert_leq(other.pings, 3);
 }
 
+// Guards against a time that is converted to the clock of a process by what an
+// earlier one at the same address has reported (a job's deadline).
+Test(peers, clock_of_an_earlier_process_is_not_used) {
+  testing::EventLoop loop;
+  Runtime runtime(loop.base());
+  FakeLeader own(loop, "ghent");
+  Peers peers(
+      runtime, {},
+      [] {
+        return Ping{.sender = {.failure_domain = "ghent",
+                               .address = {.host = "127.0.0.1", .port = 9}}};
+      },
+      [](const Address&, const PingResponse&) {});
+  const Address address = own.Record().address;
+  const auto knows_clock_of = [&](const std::string& incarnation) {
+    return peers.ToClockOf(address, incarnation, runtime.Now()).has_value();
+  };
+  cr_assert(!knows_clock_of("ghent"));
+  peers.MonitorLeader("ghent", own.Record(), 10);
+  cr_assert(loop.RunUntil([&] { return knows_clock_of("ghent"); }));
+  cr_assert(!knows_clock_of("later"));
+  cr_assert(own.last_sent.has_value());
+  cr_assert(loop.RunUntil([&] { return own.last_sent->incarnation != ""; }));
+  cr_assert_eq(own.last_sent->incarnation, "ghent");
+  // The leader's clock shows 1 us in each response.
+  cr_assert_leq(own.last_sent->clock_us, 1'000'000);
+}
+
 // Guards against a leader that hands its domain over and drops the jobs of an
 // instance which pings only the successor from then on; and against pings
 // without end to the leader that has answered them.
--- a/tests/resubmission_test.cc
+++ b/tests/resubmission_test.cc
@@ -23,6 +23,8 @@
 
 constexpr char kFiller[] = "00000000000000f1";
 constexpr char kJob[] = "00000000000000a1";
+// After a connection broke, its caller submits the job again after this time.
+constexpr int kRetransmitMs = 1300;
 
 void AssertOneRunAtATime(const PlatformRig& rig) {
   cr_assert(rig.run_monitor.violations.empty(), "%s",
@@ -84,6 +86,51 @@
   std::size_t other_leader = 0;
 };
 
+// Two instances in "ghent", of which the first leads it. The other one reaches
+// it through a relay, and both reach the upstreams through relays.
+class LeaderBehindRelay {
+ public:
+  LeaderBehindRelay() : leader(rig.AddNodeAdvertisedAt(relay.port())) {
+    relay.Control("/target", {{"port", rig.PeerPort(leader)}});
+    for (const auto& upstream : rig.upstreams) {
+      upstream_relays.push_back(std::make_unique<standin::Relay>(
+          rig.loop.base(),
+          standin::RelayOptions{.target_port = upstream->address().port}));
+      upstream->RegisterAt(upstream_relays.back()->port());
+    }
+    cr_assert(rig.WaitUntilReady());
+    entry = rig.AddNode("ghent");
+    rig.loop.RunFor(1000);
+    cr_assert_eq(rig.LeaderOf("ghent"), static_cast<int>(leader));
+  }
+
+  // Submits a job of one long task to `entry`, and waits until it runs.
+  void StartJob() {
+    rig.Submit(entry, kJob, 1, "5000", "/fit/", 8000);
+    cr_assert(rig.loop.RunUntil([this] { return running() == 1; }));
+    rig.loop.RunFor(300);
+  }
+  // The open connections to the upstreams go silent.
+  void SilenceUpstreams() {
+    for (const auto& each : upstream_relays) {
+      each->Control("/fault", {{"silence_open", true}, {"hold_closed", true}});
+    }
+  }
+  std::size_t running() const {
+    std::size_t sum = 0;
+    for (const auto& upstream : rig.upstreams) {
+      sum += upstream->running();
+    }
+    return sum;
+  }
+
+  PlatformRig rig;
+  standin::Relay relay{rig.loop.base(), standin::RelayOptions()};
+  std::vector<std::unique_ptr<standin::Relay>> upstream_relays;
+  std::size_t leader;
+  std::size_t entry = 0;
+};
+
 // Guards against a job that one instance has submitted to another domain, and
 // that another instance starts in its own domain (TWICE).
 Test(resubmission, job_in_another_domain_is_found_by_another_instance) {
@@ -354,6 +401,25 @@
   cr_assert_eq(rig.run_monitor.started, 6);
 }
 
+// Guards against a leader that takes the next process of an instance which lost
+// power for the one that forwarded a job, and goes on with the job beside its
+// resubmission (TWICE).
+Test(resubmission, jobs_of_a_lost_process_end_before_they_come_again) {
+  LeaderBehindRelay domain;
+  PlatformRig& rig = domain.rig;
+  domain.StartJob();
+  // The leader's ends of the connections stay open.
+  domain.relay.Control("/close_clients", {});
+  rig.KillNode(domain.entry);
+  rig.RestartNode(domain.entry);
+  rig.loop.RunFor(kRetransmitMs);
+  cr_assert_eq(domain.running(), 0);
+  rig.Submit(domain.entry, kJob, 1, "100");
+  cr_assert(rig.WaitForResponses());
+  cr_assert_eq(rig.StatusOf(kJob), 200, "%s", rig.BodyOf(kJob).c_str());
+  AssertOneRunAtATime(rig);
+}
+
 // Guards against a job that stays bound to an earlier leader which has said
 // that it has no run of it, as its domain's leader is not told.
 Test(resubmission, job_without_runs_at_an_earlier_leader_starts) {
