--- a/src/control/active_jobs.h
+++ b/src/control/active_jobs.h
@@ -12,11 +12,6 @@
 
 namespace jaypick::control {
 
-// Time after the longest lease within which a leader notices that nobody waits
-// for a job, and stops its runs. Together they are the time after which no run
-// of a job that was given up is active.
-inline constexpr Duration kStopNotice = std::chrono::milliseconds(250);
-
 // One leadership of a domain.
 struct Leadership {
   std::string failure_domain;
@@ -36,7 +31,7 @@
 class ActiveJobs {
  public:
   // `longest_run` is the time after which no run of a job that was given up is
-  // active.
+  // active, see `LongestRunAfterGivingUp`.
   explicit ActiveJobs(Duration longest_run) : longest_run_(longest_run) {}
 
   struct Entry {
@@ -52,7 +47,6 @@
   // Returns the entry of the job, unless its time has passed, and forgets it.
   std::optional<Entry> Take(TimePoint now, const std::string& job);
 
-  Duration longest_run() const { return longest_run_; }
   std::size_t size() const { return entries_.size(); }
 
  private:
--- a/src/control/forwarding_lease.cc
+++ b/src/control/forwarding_lease.cc
@@ -6,18 +6,29 @@
 
 void ForwardingLeases::Extend(TimePoint now,
                               const std::string& process,
-                              TimePoint sent) {
+                              TimePoint sent,
+                              const std::vector<ForwardNumber>& withdrawn) {
   RemoveExpired(now);
-  TimePoint& extended = extended_[process];
-  extended = std::max(extended, sent);
+  Process& known = processes_[process];
+  known.extended = std::max(known.extended, sent);
+  for (const ForwardNumber number : withdrawn) {
+    known.withdrawn[number] = now;
+  }
+}
+
+bool ForwardingLeases::IsWithdrawn(const std::string& process,
+                                   ForwardNumber number) const {
+  const auto it = processes_.find(process);
+  return it != processes_.end() && it->second.withdrawn.contains(number);
 }
 
 bool ForwardingLeases::HasExpired(TimePoint now,
                                   const std::string& process,
                                   TimePoint forwarded) const {
-  const auto it = extended_.find(process);
-  const TimePoint last =
-      it == extended_.end() ? forwarded : std::max(forwarded, it->second);
+  const auto it = processes_.find(process);
+  const TimePoint last = it == processes_.end()
+                             ? forwarded
+                             : std::max(forwarded, it->second.extended);
   return now - last >= kForwardingLease;
 }
 
@@ -26,8 +37,15 @@
     return;
   }
   next_removal_ = now + kForwardingLease;
-  std::erase_if(extended_, [now](const auto& entry) {
-    return now - entry.second >= kForwardingLease;
+  const auto has_expired = [now](TimePoint time) {
+    return now - time >= kForwardingLease;
+  };
+  for (auto& [process, known] : processes_) {
+    std::erase_if(known.withdrawn,
+                  [&](const auto& entry) { return has_expired(entry.second); });
+  }
+  std::erase_if(processes_, [&](const auto& entry) {
+    return has_expired(entry.second.extended) && entry.second.withdrawn.empty();
   });
 }
 
--- a/src/control/forwarding_lease.h
+++ b/src/control/forwarding_lease.h
@@ -2,9 +2,12 @@
 #ifndef JAYPICK_CONTROL_FORWARDING_LEASE_H_
 #define JAYPICK_CONTROL_FORWARDING_LEASE_H_
 
+#include <cstddef>
 #include <map>
 #include <string>
+#include <vector>
 
+#include "control/withdrawals.h"
 #include "jaypick/time.h"
 
 namespace jaypick::control {
@@ -13,6 +16,8 @@
 // process that forwarded it is known to have waited for it. If that process has
 // ended, the job's caller may submit it again elsewhere.
 inline constexpr Duration kForwardingLease = std::chrono::milliseconds(900);
+// Interval of the check for expired leases.
+inline constexpr Duration kForwardingLeaseCheck = std::chrono::milliseconds(50);
 
 // The forwarding leases that a node has granted.
 //
@@ -23,8 +28,16 @@
 // the node that grants the leases.
 class ForwardingLeases {
  public:
-  // At `sent`, `process` waited for all the jobs that it had forwarded.
-  void Extend(TimePoint now, const std::string& process, TimePoint sent);
+  // At `sent`, `process` waited for all the jobs that it had forwarded, except
+  // those of the requests in `withdrawn`.
+  void Extend(TimePoint now,
+              const std::string& process,
+              TimePoint sent,
+              const std::vector<ForwardNumber>& withdrawn);
+
+  // Returns whether `process` has withdrawn the request. A request that is
+  // received within a lease after it was sent may arrive after its withdrawal.
+  bool IsWithdrawn(const std::string& process, ForwardNumber number) const;
 
   // Returns whether the lease of a job that `process` forwarded at `forwarded`
   // has expired.
@@ -33,13 +46,19 @@
                   TimePoint forwarded) const;
 
   // Number of processes that hold leases.
-  std::size_t size() const { return extended_.size(); }
+  std::size_t size() const { return processes_.size(); }
 
  private:
+  struct Process {
+    // When it sent its last message.
+    TimePoint extended;
+    // When this node last heard of each withdrawal.
+    std::map<ForwardNumber, TimePoint> withdrawn;
+  };
+
   void RemoveExpired(TimePoint now);
 
-  // When each process sent its last message.
-  std::map<std::string, TimePoint, std::less<>> extended_;
+  std::map<std::string, Process, std::less<>> processes_;
   TimePoint next_removal_;
 };
 
--- a/src/control/upstream_session.cc
+++ b/src/control/upstream_session.cc
@@ -55,12 +55,22 @@
          ToMilliseconds(options_.longest_lease);
 }
 
-void UpstreamSession::ExtendLeaseBound(TimePoint now) {
+std::int64_t UpstreamSession::ExtendLease(TimePoint now) {
   const auto longest = static_cast<Duration::rep>(
       static_cast<double>(options_.longest_lease.count()) /
       (1 - options_.clock_error));
   lease_bound_ =
       std::max(lease_bound_, now + Duration(longest) + options_.lease_margin);
+  const std::int64_t expiry = LeaseExpiry(now);
+  lease_expiry_ms_ = std::max(lease_expiry_ms_, expiry);
+  return expiry;
+}
+
+std::optional<std::int64_t> UpstreamSession::StartLeaseExpiry(TimePoint now) {
+  if (stopping_.empty()) {
+    return ExtendLease(now);
+  }
+  return MayStart(now) ? std::optional(lease_expiry_ms_) : std::nullopt;
 }
 
 void UpstreamSession::SendPoll(TimePoint now,
@@ -73,9 +83,11 @@
                    .acknowledged = acknowledged_,
                    .wait = wait,
                    .is_recovery = is_recovery};
-  if (extends_lease && clock_ms_ && !IsStopLate(now)) {
-    poll.lease_expiry_ms = LeaseExpiry(now);
-    ExtendLeaseBound(now);
+  if (!stopping_.empty()) {
+    // Extends the lease soon after the run has ended.
+    poll.wait = std::min(wait, options_.stop_confirmation_limit);
+  } else if (extends_lease && clock_ms_) {
+    poll.lease_expiry_ms = ExtendLease(now);
   }
   acknowledged_sent_ = acknowledged_;
   poll_ = PendingPoll{.request_number = poll.request_number,
@@ -90,8 +102,9 @@
                             std::string payload,
                             SessionOutputs& outputs) {
   runs_[run] = Run{};
-  if (IsStopLate(now)) {
+  if (!MayStart(now)) {
     // A start would extend the lease of the run to be stopped.
+    CheckStops(now, outputs);
     EndRun(run, RunOutcome::kNotStarted, "stop_unconfirmed", outputs);
     return;
   }
@@ -109,12 +122,16 @@
                                 const RunId& run,
                                 std::string payload,
                                 SessionOutputs& outputs) {
+  const auto lease_expiry_ms = StartLeaseExpiry(now);
+  if (!lease_expiry_ms) {
+    EndRun(run, RunOutcome::kNotStarted, "stop_unconfirmed", outputs);
+    return;
+  }
   const StartRequest start{.request_number = ++last_request_number_,
                            .run = run,
                            .payload = std::move(payload),
                            .token = token_,
-                           .lease_expiry_ms = LeaseExpiry(now)};
-  ExtendLeaseBound(now);
+                           .lease_expiry_ms = *lease_expiry_ms};
   runs_[run].started_unix_ms = started_unix_ms_;
   starts_[start.request_number] = {.run = run, .token = token_};
   outputs.push_back(start);
@@ -150,8 +167,20 @@
   });
 }
 
+bool UpstreamSession::MayStart(TimePoint now) const {
+  if (stopping_.empty()) {
+    return true;
+  }
+  const std::int64_t left_ms = clock_ms_
+                                   ? lease_expiry_ms_ - LeaseExpiry(now) +
+                                         ToMilliseconds(options_.longest_lease)
+                                   : 0;
+  return !IsStopLate(now) &&
+         left_ms >= ToMilliseconds(options_.shortest_start_lease);
+}
+
 void UpstreamSession::CheckStops(TimePoint now, SessionOutputs& outputs) {
-  if (!IsStopLate(now)) {
+  if (MayStart(now)) {
     ChangeState(State::kReady, "stopped", outputs);
     return;
   }
@@ -231,6 +260,7 @@
   acknowledged_ = 0;
   acknowledged_sent_ = 0;
   clock_ms_.reset();
+  lease_expiry_ms_ = 0;
   listed_unix_ms_.reset();
 }
 
@@ -426,7 +456,7 @@
     return;
   }
   if (!IsResponding() && clock_ms_) {
-    ChangeState(IsStopLate(now) ? State::kStopping : State::kReady, "answered",
+    ChangeState(MayStart(now) ? State::kReady : State::kStopping, "answered",
                 outputs);
     next_stops_ = now + options_.stop_confirmation_limit;
     for (const auto& [run, requested] : stopping_) {
--- a/src/control/upstream_session.h
+++ b/src/control/upstream_session.h
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "control/run_bounds.h"
 #include "jaypick/time.h"
 #include "schedule/messages.h"
 
@@ -141,19 +142,20 @@
   // Longest lease that the upstream grants, on its own clock.
   Duration longest_lease = std::chrono::milliseconds(1000);
   // Fraction by which the upstream's clock may run slow.
-  double clock_error = 0.02;
+  double clock_error = kUpstreamClockError;
   // Margin over the lease for rounding to whole milliseconds.
-  Duration lease_margin = std::chrono::milliseconds(10);
+  Duration lease_margin = kLeaseMargin;
   // Leases are shorter by the possible drift of the upstream's clock since it
   // was last read. Beyond this drift, the clock is read before a run is
   // started, so that leases outlast a poll that gets lost.
   Duration longest_drift = std::chrono::milliseconds(200);
-  // If a run has not ended this long after its stop was requested, the stop is
-  // repeated, and no leases are extended at its upstream until it has ended.
-  // With the longest lease on a slow clock, the run thus ends within the 1.3 s
-  // after which a caller that lost its connection submits the job again, at any
-  // instance.
+  // No leases are extended at an upstream from the request to stop a run there
+  // until the run has ended, so it ends with its lease at the latest. If it has
+  // not ended after this time, the stop is repeated and nothing is started.
   Duration stop_confirmation_limit = std::chrono::milliseconds(200);
+  // Until then, runs are started under the lease that the upstream has already
+  // got, if this much of it is left.
+  Duration shortest_start_lease = std::chrono::milliseconds(250);
   // Longest wait of a poll, short enough that leases are renewed well before
   // they expire.
   Duration poll_wait = std::chrono::milliseconds(450);
@@ -246,7 +248,7 @@
     // stopped.
     kTakingOver,
     kReady,
-    // The upstream responds, but a run has not ended in time after its stop.
+    // The upstream responds, but a stop is pending that allows no start.
     kStopping,
     // A request got no response, so the state of the runs is unknown.
     kRecovering,
@@ -281,15 +283,23 @@
   // Largest possible drift of the upstream's clock since its last reading.
   Duration Drift(TimePoint now) const;
   std::int64_t LeaseExpiry(TimePoint now) const;
-  void ExtendLeaseBound(TimePoint now);
+  // The expiry that a start request states: extends the lease unless a stop is
+  // pending. Returns nullopt if no run may be started.
+  std::optional<std::int64_t> StartLeaseExpiry(TimePoint now);
+  // Returns the expiry of a lease that is extended now.
+  std::int64_t ExtendLease(TimePoint now);
   void SendStart(TimePoint now,
                  const RunId& run,
                  std::string payload,
                  SessionOutputs& outputs);
   void SendStop(const RunId& run, SessionOutputs& outputs);
+  // Returns whether runs may be started without extending the lease of a run to
+  // be stopped.
+  bool MayStart(TimePoint now) const;
   // Returns whether a run has not ended in time after its stop was requested.
   bool IsStopLate(TimePoint now) const;
-  // Holds starts and repeats the stops while a stop is late.
+  // Holds starts while they are not possible, and repeats the stops that are
+  // late.
   void CheckStops(TimePoint now, SessionOutputs& outputs);
   void SendPoll(TimePoint now,
                 Duration wait,
@@ -370,6 +380,8 @@
   std::optional<std::int64_t> listed_unix_ms_;
   TimePoint listing_checked_;
   TimePoint lease_bound_;
+  // Latest lease expiry sent to this incarnation, on its clock.
+  std::int64_t lease_expiry_ms_ = 0;
   // The last request without a response was refused.
   bool was_refused_ = false;
   TimePoint next_recovery_poll_;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -115,6 +115,13 @@
     Abort(call, {.not_sent = true, .message = "cancelled"});
   }
 
+  void CloseIdle(const Address& address) {
+    const auto pool = pools_.find(address);
+    if (pool != pools_.end()) {
+      CloseIdle(pool->second);
+    }
+  }
+
  private:
   struct Connection;
   struct Pool;
@@ -293,6 +300,9 @@
   // `error.not_sent` is kept only if no byte has been sent.
   void Abort(Call& call, ClientError error) {
     Pool& pool = *call.pool;
+    if (error.timed_out && options_.closes_idle_on_timeout) {
+      CloseIdle(pool);
+    }
     if (call.connection != nullptr) {
       Connection& connection = *call.connection;
       error.not_sent =
@@ -309,6 +319,15 @@
     StartWaiting(pool);
   }
 
+  void CloseIdle(Pool& pool) {
+    for (auto it = pool.connections.begin(); it != pool.connections.end();) {
+      Connection& connection = **it++;
+      if (connection.call == nullptr) {
+        Close(connection);
+      }
+    }
+  }
+
   static void OnIdleTimeout(int /*socket*/, short /*what*/, void* context) {
     auto* const connection = static_cast<Connection*>(context);
     connection->client->Close(*connection);
@@ -397,6 +416,10 @@
   impl_->Cancel(call);
 }
 
+void Client::CloseIdle(const Address& address) {
+  impl_->CloseIdle(address);
+}
+
 std::size_t Client::in_flight() const {
   return impl_->in_flight();
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -40,14 +40,19 @@
   // Resets the connection of a request that timed out or was cancelled, so that
   // bytes in transit are discarded.
   bool resets_on_timeout = false;
+  // Closes the idle connections to an address when a request to it times out:
+  // connections that were open at one time may all have become unresponsive. To
+  // be switched off where a timeout says more about the request than about its
+  // connection.
+  bool closes_idle_on_timeout = true;
 };
 
 // Sends requests over persistent connections, with at most one request in
 // flight on each connection.
 //
 // Requests are never retried. The connection of a request that timed out is
-// closed, so that unresponsive connections are replaced. Sockets use TCP
-// keep-alive and TCP_USER_TIMEOUT.
+// closed, and with it the idle ones to the same address, so that unresponsive
+// connections are replaced. Sockets use TCP keep-alive and TCP_USER_TIMEOUT.
 class Client {
  public:
   Client(event_base* base, const ClientOptions& options);
@@ -72,6 +77,9 @@
   // Does nothing if the call has ended.
   void Cancel(std::uint64_t call);
 
+  // Closes the idle connections to `address`.
+  void CloseIdle(const Address& address);
+
   std::size_t in_flight() const;
 
  private:
--- a/src/node/caller_server.cc
+++ b/src/node/caller_server.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "control/leader_wait.h"
+#include "control/run_bounds.h"
 #include "daemon/log.h"
 
 namespace jaypick::node {
@@ -72,7 +73,7 @@
       peers_(peers),
       leadership_manager_(leadership_manager),
       metrics_(metrics),
-      active_jobs_(settings.run_lease + control::kStopNotice),
+      active_jobs_(control::LongestRunAfterGivingUp(settings.run_lease)),
       parked_timer_(runtime.base(), [this] { DispatchParkedJobs(); }),
       server_(runtime.base(),
               {.address = settings.callers,
@@ -381,7 +382,8 @@
                             Job& job,
                             const control::Leadership& destination) {
   const TimePoint now = runtime_.Now();
-  const Duration time_left = job.deadline - now + active_jobs_.longest_run();
+  const Duration time_left =
+      job.deadline - now + control::LongestStop(settings_.run_lease);
   job.leadership = {};
   const std::string& own_domain = settings_.failure_domain;
   const std::string owner = leadership_manager_.OwnRecord().incarnation;
@@ -582,12 +584,8 @@
               : job.registrar_token};
   job.leadership = leadership;
   job.forward = ++last_forward_;
-  job.peer_request = peers_.Send(
-      leadership.address,
-      {.method = http::Method::kPost,
-       .path = kForwardedJobPath,
-       .body = Encode(message)},
-      job.deadline - now + kResponseMargin,
+  job.peer_request = peers_.Forward(
+      leadership.address, message, job.deadline - now + kResponseMargin,
       [this, id, forward = job.forward](const http::ClientResult& result) {
         OnForwardResult(id, forward, result);
       });
--- a/src/node/leadership_manager.cc
+++ b/src/node/leadership_manager.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "control/fencing_token.h"
+#include "control/run_bounds.h"
 #include "control/start_limit.h"
 #include "daemon/log.h"
 
@@ -38,9 +39,6 @@
 constexpr Duration kListRefreshInterval = std::chrono::milliseconds(500);
 // Interval of checks while a new leader holds submissions back.
 constexpr Duration kHoldTick = std::chrono::milliseconds(10);
-// The clock of an upstream may be slow by 2%, and leases are rounded to whole
-// milliseconds.
-constexpr int kLeaseDriftDivisor = 40;
 // Time in which the leaders of other domains report the jobs of this one.
 constexpr Duration kReportTimeout = std::chrono::milliseconds(300);
 
@@ -159,8 +157,7 @@
   const bool have_runs_ended =
       (held_domain.predecessor_upstreams.empty() &&
        held_domain.domain_leader->HasTakenOverAllUpstreams()) ||
-      ended_for >=
-          settings_.run_lease + settings_.run_lease / kLeaseDriftDivisor;
+      ended_for >= control::LongestLease(settings_.run_lease);
   return have_runs_ended &&
          (ended_for >= kReportTimeout ||
           HaveOtherDomainsReported(failure_domain, take_over));
@@ -204,7 +201,7 @@
     const std::string& domain = taken_over.failure_domain;
     std::uint64_t& registrar_token = registrar_tokens_[domain];
     registrar_token = std::max(registrar_token, taken_over.token);
-    DomainJobs report{.failure_domain = domain};
+    DomainJobs report{.failure_domain = domain, .token = taken_over.token};
     std::vector<control::RegisteredJob> jobs;
     const auto own = held_domains_.find(domain);
     const auto handed_over = handed_over_jobs_.find(domain);
@@ -320,7 +317,7 @@
       .failure_domain = failure_domain,
       .incarnation = record.incarnation,
       .address = record.address,
-      .longest_stop = settings_.run_lease + control::kStopNotice,
+      .longest_stop = control::LongestStop(settings_.run_lease),
       .token = token};
   options.session.longest_lease = settings_.run_lease;
   options.scheduler.on_violation = [](std::string_view invariant,
@@ -528,6 +525,12 @@
         !it->second.domain_leader->is_holding_jobs()) {
       continue;
     }
+    // A response to an earlier leadership of this node says nothing of what its
+    // sender has accepted since.
+    if (report.token != 0 &&
+        report.token != it->second.domain_leader->token()) {
+      continue;
+    }
     std::vector<control::RegisteredJob> jobs;
     for (const ReportedJob& job : report.jobs) {
       jobs.push_back({.job = job.job,
--- a/src/node/peer_messages.cc
+++ b/src/node/peer_messages.cc
@@ -313,12 +313,15 @@
   }
   return {{"domain", domain.failure_domain},
           {"earlier_leader", domain.is_of_earlier_leader},
+          {"token", domain.token},
           {"jobs", std::move(jobs)}};
 }
 
 DomainJobs DomainJobsFrom(const json& value) {
   DomainJobs domain{.failure_domain = value.at("domain"),
-                    .is_of_earlier_leader = value.at("earlier_leader")};
+                    .is_of_earlier_leader = value.at("earlier_leader"),
+                    // Nodes of earlier versions do not send it.
+                    .token = value.value("token", std::uint64_t{0})};
   for (const json& job : value.at("jobs")) {
     domain.jobs.push_back({.job = job.at("id"),
                            .owner = job.at("owner"),
@@ -367,6 +370,7 @@
                 {"instance", message.instance},
                 {"elapsed_us", message.elapsed.count()},
                 {"deadline_us", message.deadline_us},
+                {"number", message.number},
                 {"sent_us", message.sent_us},
                 {"required_incarnation", message.required_incarnation},
                 {"entry_incarnation", message.entry_incarnation},
@@ -386,6 +390,7 @@
         .instance = value.at("instance"),
         .elapsed = Duration(value.at("elapsed_us")),
         .deadline_us = value.at("deadline_us"),
+        .number = value.value("number", control::ForwardNumber{0}),
         .sent_us = value.value("sent_us", std::int64_t{0}),
         .sent_at_us = OptionalIntegerFrom(value, "sent_at_us"),
         .required_incarnation = value.value("required_incarnation", ""),
@@ -471,6 +476,9 @@
     value["sent"] = {{"incarnation", message.sent->incarnation},
                      {"clock_us", message.sent->clock_us}};
   }
+  if (!message.withdrawn.empty()) {
+    value["withdrawn"] = message.withdrawn;
+  }
   return Dump(value);
 }
 
@@ -493,6 +501,9 @@
       ping.sent = ProcessTime{.incarnation = sent.at("incarnation"),
                               .clock_us = sent.at("clock_us")};
     }
+    if (value.contains("withdrawn")) {
+      value.at("withdrawn").get_to(ping.withdrawn);
+    }
     return ping;
   });
 }
@@ -528,6 +539,9 @@
       domains.push_back(ToJson(domain));
     }
   }
+  if (!message.withdrawn.empty()) {
+    value["withdrawn"] = message.withdrawn;
+  }
   return Dump(value);
 }
 
@@ -564,6 +578,9 @@
         response.jobs.push_back(DomainJobsFrom(domain));
       }
     }
+    if (value.contains("withdrawn")) {
+      value.at("withdrawn").get_to(response.withdrawn);
+    }
     return response;
   });
 }
--- a/src/node/peer_messages.h
+++ b/src/node/peer_messages.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "control/job_registry.h"
+#include "control/withdrawals.h"
 #include "jaypick/instance.h"
 #include "jaypick/time.h"
 #include "node/prefix_mirror.h"
@@ -54,8 +55,10 @@
   // the deadline is never later than intended. The receiver refuses jobs that
   // arrive after it.
   std::int64_t deadline_us = 0;
-  // Time of sending on the sender's clock. Orders the requests of an instance
-  // for one job, which may arrive on different connections in any order.
+  // Number of the request at the process that sends it.
+  control::ForwardNumber number = 0;
+  // Time of sending on the sender's clock. Orders the requests of a process for
+  // one job, which may arrive on different connections in any order.
   std::int64_t sent_us = 0;
   // The same on the receiver's clock, like the deadline never too late. Absent
   // in messages of nodes of earlier versions.
@@ -130,6 +133,9 @@
   // The sender has led the domain and accepts no more jobs for it. All of its
   // jobs and registrations are included.
   bool is_of_earlier_leader = false;
+  // First fencing token of the leader that has asked for the jobs; 0 in
+  // messages of nodes of earlier versions.
+  std::uint64_t token = 0;
   std::vector<ReportedJob> jobs;
 
   friend bool operator==(const DomainJobs&, const DomainJobs&) = default;
@@ -229,6 +235,9 @@
   // clock and never too late. Without an incarnation before the receiver's
   // first response; absent in messages of nodes of earlier versions.
   std::optional<ProcessTime> sent;
+  // Requests that forwarded a job to the receiver and ended without a response
+  // before then. The sender does not wait for these jobs.
+  std::vector<control::ForwardNumber> withdrawn;
 
   friend bool operator==(const Ping&, const Ping&) = default;
 };
@@ -267,6 +276,9 @@
   // while the receiver, as an earlier leader of the domain, does not know all
   // of them.
   std::vector<DomainJobs> jobs;
+  // The withdrawals in the ping, whose jobs the sender of this response has
+  // dropped.
+  std::vector<control::ForwardNumber> withdrawn;
 
   friend bool operator==(const PingResponse&, const PingResponse&) = default;
 };
--- a/src/node/peer_server.cc
+++ b/src/node/peer_server.cc
@@ -15,8 +15,6 @@
 constexpr int kBadRequest = 400;
 constexpr std::size_t kConnectionLimit = 3000;
 constexpr std::size_t kBodyLimitBytes = std::size_t{4} * 1024 * 1024;
-// Interval of the check for expired forwarding leases.
-constexpr Duration kCheckInterval = std::chrono::milliseconds(50);
 // Maximum number of losses of upstreams in one ping response; the next
 // responses hold the others.
 constexpr std::size_t kMaxLossesPerResponse = 64;
@@ -51,7 +49,7 @@
       view_(view),
       peers_(peers),
       snapshot_exchange_(snapshot_exchange),
-      timer_(runtime.base(), [this] { DropJobsWithExpiredLeases(); }),
+      timer_(runtime.base(), [this] { OnLeaseCheck(); }),
       server_(runtime.base(),
               {.address = settings.peer,
                .body_limit_bytes = kBodyLimitBytes,
@@ -93,7 +91,7 @@
         snapshot_exchange_.Import(*std::move(snapshot), TimePoint());
         responder.Send(OkResponse("{}"));
       });
-  timer_.After(kCheckInterval);
+  timer_.After(control::kForwardingLeaseCheck);
 }
 
 PeerServer::~PeerServer() = default;
@@ -144,7 +142,9 @@
   const std::vector<std::uint64_t> replaced =
       domain_leader->HasJob(message->spec.id) ? ForwardsOf(*message)
                                               : std::vector<std::uint64_t>();
+  // The withdrawal of a request may arrive before the request.
   const bool is_superseded =
+      leases_.IsWithdrawn(message->entry_incarnation, message->number) ||
       std::ranges::any_of(replaced, [&](std::uint64_t earlier) {
         return forwarded_jobs_.at(earlier).sent_us > message->sent_us;
       });
@@ -158,6 +158,7 @@
   Job& job = forwarded_jobs_[number];
   job.instance = message->instance;
   job.entry_incarnation = message->entry_incarnation;
+  job.number = message->number;
   job.sent_us = message->sent_us;
   job.sent_at = sent_at;
   job.failure_domain = message->failure_domain;
@@ -284,6 +285,11 @@
   }
 }
 
+void PeerServer::OnLeaseCheck() {
+  DropJobsWithExpiredLeases();
+  timer_.After(control::kForwardingLeaseCheck);
+}
+
 void PeerServer::DropJobsWithExpiredLeases() {
   const TimePoint now = runtime_.Now();
   std::vector<std::uint64_t> expired;
@@ -295,16 +301,35 @@
   for (const std::uint64_t number : expired) {
     RemoveWaiter(number, "lease_expired");
   }
-  timer_.After(kCheckInterval);
 }
 
 void PeerServer::ExtendLease(const Ping& ping) {
+  const std::string& process = ping.sender.incarnation;
+  const bool is_for_this_process =
+      !ping.sent || ping.sent->incarnation == incarnation_;
+  if (!is_for_this_process) {
+    return;
+  }
   const TimePoint now = runtime_.Now();
-  if (!ping.sent) {
-    leases_.Extend(now, ping.sender.incarnation, now);
-  } else if (ping.sent->incarnation == incarnation_) {
-    leases_.Extend(now, ping.sender.incarnation,
-                   std::min(now, TimePoint(Duration(ping.sent->clock_us))));
+  // A lease that has expired is not extended.
+  if (leases_.HasExpired(now, process, TimePoint())) {
+    DropJobsWithExpiredLeases();
+  }
+  const TimePoint sent =
+      ping.sent ? std::min(now, TimePoint(Duration(ping.sent->clock_us))) : now;
+  leases_.Extend(now, process, sent, ping.withdrawn);
+  if (ping.withdrawn.empty()) {
+    return;
+  }
+  std::vector<std::uint64_t> withdrawn;
+  for (const auto& [number, job] : forwarded_jobs_) {
+    if (job.entry_incarnation == process &&
+        leases_.IsWithdrawn(process, job.number)) {
+      withdrawn.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : withdrawn) {
+    RemoveWaiter(number, "withdrawn");
   }
 }
 
@@ -346,7 +371,8 @@
       .relayed = std::move(relayed),
       .losses = std::move(losses.first),
       .losses_until = losses.second,
-      .jobs = std::move(jobs)})));
+      .jobs = std::move(jobs),
+      .withdrawn = ping->withdrawn})));
 }
 
 void PeerServer::OnDelegation(const http::Request& request,
--- a/src/node/peer_server.h
+++ b/src/node/peer_server.h
@@ -39,6 +39,7 @@
 
  private:
   struct Job {
+    control::ForwardNumber number = 0;
     // Time of sending on the clocks of the entry and of this node.
     std::int64_t sent_us = 0;
     TimePoint sent_at;
@@ -54,7 +55,8 @@
   void OnForwardedJob(const http::Request& request, http::Responder responder);
   void OnRegistration(const http::Request& request, http::Responder responder);
   void OnPing(const http::Request& request, http::Responder responder);
-  // Extends the lease of the jobs that the sender has forwarded.
+  // Extends the lease of the jobs that the sender has forwarded, and drops
+  // those that it has withdrawn.
   void ExtendLease(const Ping& ping);
   void OnDelegation(const http::Request& request, http::Responder responder);
   void OnJobResult(std::uint64_t number, const JobResult& result);
@@ -66,6 +68,7 @@
   // Requests of the same process for the same job that have not ended.
   std::vector<std::uint64_t> ForwardsOf(const ForwardedJob& message) const;
   void RemoveWaiter(std::uint64_t number, std::string_view cause);
+  void OnLeaseCheck();
   void DropJobsWithExpiredLeases();
 
   Runtime& runtime_;
--- a/src/node/peers.cc
+++ b/src/node/peers.cc
@@ -33,7 +33,9 @@
                     .connections_per_address = kPingConnections}),
       request_client_(runtime.base(),
                       {.connections_per_address = kRequestConnections,
-                       .resets_on_timeout = true}),
+                       .resets_on_timeout = true,
+                       // A forwarded job may be late on a sound connection.
+                       .closes_idle_on_timeout = false}),
       timer_(runtime.base(), [this] { PingDue(); }) {
   timer_.After(options_.ping_interval);
 }
@@ -249,19 +251,36 @@
                           http::Request request,
                           Duration timeout,
                           http::ClientCallback callback) {
-  const Destination destination{.address = peer,
-                                .is_job = request.path == kForwardedJobPath};
-  if (destination.is_job) {
-    ++jobs_in_flight_[peer];
-  }
+  return SendTo({.address = peer}, std::move(request), timeout,
+                std::move(callback));
+}
+
+std::uint64_t Peers::Forward(const Address& peer,
+                             ForwardedJob message,
+                             Duration timeout,
+                             http::ClientCallback callback) {
+  message.number = ++last_forward_;
+  ++jobs_in_flight_[peer];
+  return SendTo({.address = peer, .forward = message.number},
+                {.method = http::Method::kPost,
+                 .path = kForwardedJobPath,
+                 .body = Encode(message)},
+                timeout, std::move(callback));
+}
+
+std::uint64_t Peers::SendTo(const Destination& destination,
+                            http::Request request,
+                            Duration timeout,
+                            http::ClientCallback callback) {
   const auto number = std::make_shared<std::uint64_t>(0);
   *number = request_client_.Send(
-      peer, std::move(request), timeout,
+      destination.address, std::move(request), timeout,
       [this, destination, number,
        callback = std::move(callback)](const http::ClientResult& result) {
         // The result of a request may be on its way here when it is cancelled.
         if (destinations_.erase(*number) > 0) {
-          OnRequestEnded(destination);
+          const auto* const error = std::get_if<http::ClientError>(&result);
+          OnRequestEnded(destination, error != nullptr && !error->not_sent);
         }
         callback(result);
       });
@@ -275,14 +294,17 @@
     return;
   }
   request_client_.Cancel(request);
-  OnRequestEnded(it->second);
+  OnRequestEnded(it->second, true);
   destinations_.erase(it);
 }
 
-void Peers::OnRequestEnded(const Destination& destination) {
-  if (!destination.is_job) {
+void Peers::OnRequestEnded(const Destination& destination, bool is_withdrawn) {
+  if (destination.forward == 0) {
     return;
   }
+  if (is_withdrawn) {
+    withdrawals_.Add(runtime_.Now(), destination.address, destination.forward);
+  }
   const auto it = jobs_in_flight_.find(destination.address);
   if (--it->second == 0) {
     jobs_in_flight_.erase(it);
@@ -325,12 +347,15 @@
   for (const auto& [domain, monitored] : predecessors_) {
     addresses.insert(monitored.record.address);
   }
-  // A node at which jobs of this node are must hear from it often, as it drops
-  // the jobs of silent instances, also after it has handed its domain over.
+  // Pings extend the leases of forwarded jobs, also at a node that has handed
+  // its domain over, and withdraw those that nobody waits for.
   for (const auto& [address, jobs] : jobs_in_flight_) {
     addresses.insert(address);
   }
   const TimePoint now = runtime_.Now();
+  for (const Address& address : withdrawals_.Peers(now)) {
+    addresses.insert(address);
+  }
   for (const Address& address : addresses) {
     Peer& peer = peers_[address];
     if (peer.pending_pings >= kPingConnections) {
@@ -365,6 +390,7 @@
   ping.sent =
       sent ? ProcessTime{.incarnation = peer.incarnation, .clock_us = *sent}
            : ProcessTime();
+  ping.withdrawn = withdrawals_.Pending(runtime_.Now(), address);
   return Encode(ping);
 }
 
@@ -470,6 +496,9 @@
     // A refused connection means that the machine is up but the process is not.
     // A timeout may also be caused by the network.
     const bool is_refused = error->not_sent && !error->timed_out;
+    if (error->timed_out) {
+      request_client_.CloseIdle(address);
+    }
     if (!is_refused) {
       peer.consecutive_refusals = 0;
     } else if (IsMonitored(address)) {
@@ -499,6 +528,7 @@
   for (const RelayedStatus& relayed : decoded->relayed) {
     OnRelayedStatus(relayed, peer.last_response);
   }
+  withdrawals_.Acknowledge(address, decoded->withdrawn);
   on_response_(address, *decoded);
 }
 
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "control/election.h"
+#include "control/withdrawals.h"
 #include "http/client.h"
 #include "jaypick/instance.h"
 #include "node/peer_messages.h"
@@ -126,7 +127,16 @@
                                         const std::string& incarnation,
                                         TimePoint time) const;
 
-  // Sends a request to a peer.
+  // Forwards a job to a peer; sets the number of the message. Until the request
+  // ends, pings tell the peer that this process waits for the job; if it ends
+  // without a response, they tell it that the process does not.
+  //
+  // Returns a number for `Cancel`.
+  std::uint64_t Forward(const Address& peer,
+                        ForwardedJob message,
+                        Duration timeout,
+                        http::ClientCallback callback);
+  // Sends any other request to a peer.
   //
   // Returns a number for `Cancel`.
   std::uint64_t Send(const Address& peer,
@@ -169,7 +179,8 @@
 
   struct Destination {
     Address address;
-    bool is_job = false;
+    // 0 unless the request forwards a job.
+    control::ForwardNumber forward = 0;
   };
 
   using MonitoredLeaders = std::map<std::string, MonitoredLeader>;
@@ -188,9 +199,14 @@
   // leads now, or to get jobs from there.
   bool NeedsLossesOf(const Address& address,
                      const std::string& own_domain) const;
+  std::uint64_t SendTo(const Destination& destination,
+                       http::Request request,
+                       Duration timeout,
+                       http::ClientCallback callback);
   void OnPingResult(const Address& address, const http::ClientResult& result);
   void OnRelayedStatus(const RelayedStatus& relayed, TimePoint now);
-  void OnRequestEnded(const Destination& destination);
+  // `is_withdrawn` if the peer may go on with the forwarded job.
+  void OnRequestEnded(const Destination& destination, bool is_withdrawn);
   // True if the address is that of a leader or predecessor that is monitored.
   bool IsMonitored(const Address& address) const;
   control::LeaderState ComputeState(const std::string& failure_domain,
@@ -208,6 +224,8 @@
   std::map<Address, Peer> peers_;
   bool uses_relays_ = false;
   std::map<Address, std::size_t> jobs_in_flight_;
+  control::ForwardNumber last_forward_ = 0;
+  control::Withdrawals withdrawals_;
   // Destinations of the requests that have not ended, by number.
   std::map<std::uint64_t, Destination> destinations_;
   // Declared after the members that the callbacks of pending requests use,
--- a/src/node/upstream_client.cc
+++ b/src/node/upstream_client.cc
@@ -38,13 +38,14 @@
   run_client_.Send(
       upstream.address, std::move(request),
       response_timeout_.Timeout(runtime_.lag()),
-      [this, sent = runtime_.Now(),
+      [this, address = upstream.address, sent = runtime_.Now(),
        callback = std::move(callback)](const http::ClientResult& result) {
         if (std::holds_alternative<http::Response>(result)) {
           response_timeout_.OnResponse(runtime_.Now() - sent);
         } else {
           response_timeout_.OnTimeout();
         }
+        CloseIdleAfterTimeout(address, result);
         callback(codec_.DecodeRunResponse(result));
       });
 }
@@ -72,11 +73,27 @@
   client.Send(
       upstream.address, codec_.EncodePoll(upstream.id, poll),
       poll.wait + 2 * response_timeout_.Timeout(runtime_.lag()),
-      [this, callback = std::move(callback)](const http::ClientResult& result) {
+      [this, address = upstream.address,
+       callback = std::move(callback)](const http::ClientResult& result) {
         response_timeout_.OnPoll(
             std::holds_alternative<http::Response>(result));
+        CloseIdleAfterTimeout(address, result);
         callback(codec_.DecodePollResponse(result));
       });
 }
 
+// The connections of the other clients to the address may be as unresponsive as
+// that of the request.
+void UpstreamClient::CloseIdleAfterTimeout(const Address& address,
+                                           const http::ClientResult& result) {
+  const auto* const error = std::get_if<http::ClientError>(&result);
+  if (error == nullptr || !error->timed_out) {
+    return;
+  }
+  for (http::Client* const client :
+       {&run_client_, &poll_client_, &recovery_client_}) {
+    client->CloseIdle(address);
+  }
+}
+
 }  // namespace jaypick::node
--- a/src/node/upstream_client.h
+++ b/src/node/upstream_client.h
@@ -38,6 +38,8 @@
             PollCallback callback);
 
  private:
+  void CloseIdleAfterTimeout(const Address& address,
+                             const http::ClientResult& result);
   // Sends a start or stop request and updates the response timeout estimate.
   void SendRunRequest(const schedule::Upstream& upstream,
                       http::Request request,
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -286,6 +286,42 @@
   cr_assert(loop.RunUntil([&] { return server.closed() == 2; }));
 }
 
+// Guards against a request that is repeated on another connection which has
+// become unresponsive at the same time.
+Test(http, timeout_closes_the_idle_connections) {
+  EventLoop loop;
+  bool is_silent = false;
+  RawServer server(loop, [&](bufferevent* socket, std::string& received) {
+    if (!is_silent && !received.empty()) {
+      received.clear();
+      RawServer::Write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+  });
+  for (const bool closes : {true, false}) {
+    Client client(loop.base(), {.timeout = std::chrono::milliseconds(50),
+                                .connections_per_address = 3,
+                                .closes_idle_on_timeout = closes});
+    const Address address{.host = "127.0.0.1", .port = server.port()};
+    const std::size_t before = server.accepted();
+    std::size_t ended = 0;
+    for (int each = 0; each < 3; ++each) {
+      client.Send(address, Get("/"), [&](const ClientResult&) { ++ended; });
+    }
+    cr_assert(loop.RunUntil([&] { return ended == 3; }));
+    cr_assert_eq(server.accepted(), before + 3);
+    is_silent = true;
+    cr_assert(Error(Exchange(loop, client, server.port(), Get("/"))).timed_out);
+    is_silent = false;
+    std::get<Response>(Exchange(loop, client, server.port(), Get("/")));
+    cr_assert_eq(server.accepted(), before + (closes ? 4 : 3));
+    if (!closes) {
+      client.CloseIdle(address);
+      std::get<Response>(Exchange(loop, client, server.port(), Get("/")));
+      cr_assert_eq(server.accepted(), before + 4);
+    }
+  }
+}
+
 // Guards against `not_sent` for a request that was sent, and against automatic
 // retries.
 Test(http, distinguishes_not_sent_from_lost) {
--- a/tests/peer_server_test.cc
+++ b/tests/peer_server_test.cc
@@ -86,6 +86,35 @@
                  [](const http::ClientResult& /*result*/) {});
   }
 
+  // Sends a ping of the process "e1" that withdraws these requests.
+  node::PingResponse Ping(std::vector<control::ForwardNumber> withdrawn) {
+    const auto response = node::DecodePingResponse(
+        Send(node::kPingPath, Encode(PingOf("e1", Duration(0), withdrawn))));
+    cr_assert(response.has_value());
+    return *response;
+  }
+  // A ping that was sent `age` ago.
+  node::Ping PingOf(const std::string& process,
+                    Duration age,
+                    std::vector<control::ForwardNumber> withdrawn = {}) {
+    const TimePoint sent = rig.runtime.Now() - age;
+    return {
+        .sender = {.instance = "peer",
+                   .failure_domain = "ghent",
+                   .incarnation = process,
+                   .address = {.host = "127.0.0.1", .port = 7009}},
+        .sent = node::ProcessTime{.incarnation = incarnation(),
+                                  .clock_us = sent.time_since_epoch().count()},
+        .withdrawn = std::move(withdrawn)};
+  }
+  std::size_t running() const {
+    std::size_t sum = 0;
+    for (const auto& upstream : rig.upstreams) {
+      sum += upstream->running();
+    }
+    return sum;
+  }
+
   // A job with one task of 50 ms.
   node::ForwardedJob Job(const std::string& id) {
     return {
@@ -215,7 +244,7 @@
 // Guards against a job that a later process of an instance, or a ping which was
 // held up, keeps at work although its caller may have left (TWICE).
 Test(peer_server, only_a_recent_ping_of_its_process_keeps_a_job_at_work) {
-  const auto ends_early = [](const std::string& incarnation, Duration age) {
+  const auto ends_early = [](const std::string& process, Duration age) {
     LeaderAndPeer pair;
     node::ForwardedJob job = pair.Job(kJob);
     job.spec.payload = "1800";
@@ -224,30 +253,48 @@
     pair.SendAsync(node::kForwardedJobPath, Encode(job));
     const TimePoint end = pair.rig.runtime.Now() + milliseconds(1500);
     while (pair.rig.runtime.Now() < end) {
-      pair.SendAsync(
-          node::kPingPath,
-          Encode(node::Ping{
-              .sender = {.instance = "peer",
-                         .failure_domain = "ghent",
-                         .incarnation = incarnation,
-                         .address = {.host = "127.0.0.1", .port = 7009}},
-              .sent =
-                  node::ProcessTime{.incarnation = pair.incarnation(),
-                                    .clock_us = (pair.rig.runtime.Now() - age)
-                                                    .time_since_epoch()
-                                                    .count()}}));
+      pair.SendAsync(node::kPingPath, Encode(pair.PingOf(process, age)));
       pair.rig.loop.RunFor(100);
     }
     cr_assert_eq(pair.rig.run_monitor.started, 1);
-    return pair.rig.upstreams[0]->running() + pair.rig.upstreams[1]->running() +
-               pair.rig.upstreams[2]->running() ==
-           0;
+    return pair.running() == 0;
   };
   cr_assert(!ends_early("e1", Duration(0)));
   cr_assert(ends_early("e2", Duration(0)));
   cr_assert(ends_early("e1", control::kForwardingLease));
 }
 
+// Guards against a job whose cancel is lost, and that the pings of its process
+// keep at work (TWICE).
+Test(peer_server, withdrawn_job_ends_although_its_connection_is_open) {
+  LeaderAndPeer pair;
+  node::ForwardedJob job = pair.Job(kJob);
+  job.number = 7;
+  job.spec.payload = "1800";
+  pair.SendAsync(node::kForwardedJobPath, Encode(job));
+  cr_assert(pair.rig.loop.RunUntil(
+      [&] { return pair.rig.run_monitor.started == 1; }));
+  cr_assert(pair.Ping({8}).withdrawn == std::vector<control::ForwardNumber>{8});
+  pair.rig.loop.RunFor(100);
+  cr_assert_eq(pair.running(), 1);
+  cr_assert(pair.Ping({7}).withdrawn == std::vector<control::ForwardNumber>{7});
+  cr_assert(pair.rig.loop.RunUntil([&] { return pair.running() == 0; }));
+}
+
+// Guards against a request that arrives after its withdrawal, and starts the
+// job (TWICE).
+Test(peer_server, request_that_was_withdrawn_is_not_accepted) {
+  LeaderAndPeer pair;
+  cr_assert_eq(pair.Ping({7}).withdrawn.size(), 1);
+  node::ForwardedJob job = pair.Job(kJob);
+  job.number = 7;
+  cr_assert(
+      std::holds_alternative<schedule::Failed>(pair.Forward(job).outcome));
+  cr_assert_eq(pair.rig.run_monitor.started, 0);
+  job.number = 8;
+  cr_assert(IsCompleted(pair.Forward(job)));
+}
+
 // Guards against a node that says a job has no runs in a domain which it does
 // not lead.
 Test(peer_server, node_without_the_leadership_does_not_speak_for_it) {
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -61,6 +61,12 @@
   cr_assert_eq(leader(), "a");
 }
 
+Ping PingFromGhent() {
+  return {.sender = {.failure_domain = "ghent",
+                     .incarnation = "sender",
+                     .address = {.host = "127.0.0.1", .port = 9}}};
+}
+
 // A leader that counts its pings.
 struct FakeLeader {
   FakeLeader(testing::EventLoop& loop, const std::string& domain)
@@ -70,14 +76,16 @@
         http::Method::kPost, kPingPath,
         [this](const http::Request& request, http::Responder responder) {
           ++pings;
-          if (const auto ping = DecodePing(request.body)) {
-            last_sent = ping->sent;
-          }
+          const Ping ping = DecodePing(request.body).value_or(Ping());
+          last_sent = ping.sent;
+          withdrawn = ping.withdrawn;
           if (is_silent) {
             held.push_back(std::move(responder));
             return;
           }
-          responder.Send({.body = Encode(Response())});
+          PingResponse response = Response();
+          response.withdrawn = ping.withdrawn;
+          responder.Send({.body = Encode(response)});
         });
   }
 
@@ -113,6 +121,7 @@
   std::vector<http::Responder> held;
   // From the last ping.
   std::optional<ProcessTime> last_sent;
+  std::vector<control::ForwardNumber> withdrawn;
   http::Server server;
 };
 
@@ -125,7 +134,7 @@
   FakeLeader other(loop, "antwerp");
   own.relays = &other;
   Peers peers(
-      runtime, {}, [] { return Ping{.sender = {.failure_domain = "ghent"}}; },
+      runtime, {}, [] { return PingFromGhent(); },
       [](const Address&, const PingResponse&) {});
   peers.SetUsesRelays(true);
   peers.MonitorLeader("ghent", own.Record(), 10);
@@ -168,16 +177,15 @@
                         held.push_back(std::move(responder));
                       });
   Peers peers(
-      runtime, {}, [] { return Ping{.sender = {.failure_domain = "ghent"}}; },
+      runtime, {}, [] { return PingFromGhent(); },
       [](const Address&, const PingResponse&) {});
   peers.SetUsesRelays(true);
   peers.MonitorLeader("ghent", own.Record(), 10);
   peers.MonitorLeader("antwerp", other.Record(), 10);
   cr_assert(loop.RunUntil([&] { return other.pings > 0; }));
-  const std::uint64_t request = peers.Send(
-      other.Record().address,
-      {.method = http::Method::kPost, .path = kForwardedJobPath, .body = "{}"},
-      std::chrono::seconds(10), [](const http::ClientResult&) {});
+  const std::uint64_t request =
+      peers.Forward(other.Record().address, {}, std::chrono::seconds(10),
+                    [](const http::ClientResult&) {});
   cr_assert(loop.RunUntil([&] { return !held.empty(); }));
   other.pings = 0;
   loop.RunFor(2000);
@@ -196,11 +204,7 @@
   Runtime runtime(loop.base());
   FakeLeader own(loop, "ghent");
   Peers peers(
-      runtime, {},
-      [] {
-        return Ping{.sender = {.failure_domain = "ghent",
-                               .address = {.host = "127.0.0.1", .port = 9}}};
-      },
+      runtime, {}, [] { return PingFromGhent(); },
       [](const Address&, const PingResponse&) {});
   const Address address = own.Record().address;
   const auto knows_clock_of = [&](const std::string& incarnation) {
@@ -232,17 +236,13 @@
   former.server.Handle(http::Method::kPost, kForwardedJobPath, hold);
   former.server.Handle(http::Method::kPost, kSnapshotPath, hold);
   Peers peers(
-      runtime, {}, [] { return Ping{.sender = {.failure_domain = "ghent"}}; },
+      runtime, {}, [] { return PingFromGhent(); },
       [](const Address&, const PingResponse&) {});
-  const auto send = [&](const char* path) {
-    return peers.Send(
-        former.Record().address,
-        {.method = http::Method::kPost, .path = path, .body = "{}"},
-        std::chrono::seconds(10), [](const http::ClientResult&) {});
-  };
   peers.MonitorLeader("ghent", former.Record(), 10);
   cr_assert(loop.RunUntil([&] { return former.pings > 0; }));
-  const std::uint64_t job = send(kForwardedJobPath);
+  const std::uint64_t job =
+      peers.Forward(former.Record().address, {}, std::chrono::seconds(10),
+                    [](const http::ClientResult&) {});
   cr_assert(loop.RunUntil([&] { return held.size() == 1; }));
   peers.MonitorLeader("ghent", successor.Record(), 20);
   loop.RunFor(300);
@@ -253,7 +253,10 @@
   cr_assert_eq(peers.LeaderStateOf("ghent"), control::LeaderState::kAlive);
 
   // Other requests need no pings.
-  const std::uint64_t snapshot = send(kSnapshotPath);
+  const std::uint64_t snapshot = peers.Send(
+      former.Record().address,
+      {.method = http::Method::kPost, .path = kSnapshotPath, .body = "{}"},
+      std::chrono::seconds(10), [](const http::ClientResult&) {});
   cr_assert(loop.RunUntil([&] { return held.size() == 2; }));
   peers.Cancel(job);
   loop.RunFor(300);
@@ -278,13 +281,11 @@
   LeaderRecord later = former.Record();
   later.incarnation = "later";
   Peers peers(
-      runtime, {}, [] { return Ping{.sender = {.failure_domain = "ghent"}}; },
+      runtime, {}, [] { return PingFromGhent(); },
       [](const Address&, const PingResponse&) {});
   peers.MonitorLeader("ghent", former.Record(), 10);
-  peers.Send(
-      former.Record().address,
-      {.method = http::Method::kPost, .path = kForwardedJobPath, .body = "{}"},
-      std::chrono::seconds(10), [](const http::ClientResult&) {});
+  peers.Forward(former.Record().address, {}, std::chrono::seconds(10),
+                [](const http::ClientResult&) {});
   cr_assert(loop.RunUntil([&] { return former.pings > 0 && !held.empty(); }));
   peers.MonitorLeader("ghent", successor.Record(), 20);
   former.server.StopAccepting();
@@ -322,6 +323,46 @@
   cr_assert(peers.HeldByPredecessor("ghent").empty());
 }
 
+// Guards against a leader that goes on with a job because the end of the
+// request's connection was lost, and its pings do not tell (TWICE).
+Test(peers, withdrawal_is_repeated_until_it_is_acknowledged) {
+  testing::EventLoop loop;
+  Runtime runtime(loop.base());
+  FakeLeader leader(loop, "ghent");
+  std::vector<http::Responder> held;
+  leader.server.Handle(http::Method::kPost, kForwardedJobPath,
+                       [&](const http::Request&, http::Responder responder) {
+                         held.push_back(std::move(responder));
+                       });
+  Peers peers(
+      runtime, {}, [] { return PingFromGhent(); },
+      [](const Address&, const PingResponse&) {});
+  peers.MonitorLeader("ghent", leader.Record(), 10);
+  const auto forward = [&] {
+    const std::size_t before = held.size();
+    const std::uint64_t request =
+        peers.Forward(leader.Record().address, {}, std::chrono::seconds(10),
+                      [](const http::ClientResult&) {});
+    cr_assert(loop.RunUntil([&] { return held.size() == before + 1; }));
+    return request;
+  };
+  const std::uint64_t cancelled = forward();
+  forward();
+  forward();
+  leader.is_silent = true;
+  peers.Cancel(cancelled);
+  held.back().Send({.body = "{}"});
+  for (int repetition = 0; repetition < 3; ++repetition) {
+    leader.pings = 0;
+    cr_assert(loop.RunUntil([&] { return leader.pings > 0; }));
+    cr_assert_eq(leader.withdrawn.size(), 1, "%zu", leader.withdrawn.size());
+    cr_assert_eq(leader.withdrawn.front(), 1);
+  }
+  leader.is_silent = false;
+  cr_assert(loop.RunUntil(
+      [&] { return leader.pings > 0 && leader.withdrawn.empty(); }));
+}
+
 // Guards against a crash when a request is cancelled after its response has
 // been read, before the callback runs: scenario bfp-pasbank-large trouble-1 and
 // trouble-3, when callers left.
@@ -341,12 +382,9 @@
       [](const Address&, const PingResponse&) {});
   constexpr std::size_t kRequests = 8;
   for (std::size_t each = 0; each < kRequests; ++each) {
-    requests.push_back(peers.Send(
-        leader.Record().address,
-        {.method = http::Method::kPost,
-         .path = kForwardedJobPath,
-         .body = "{}"},
-        std::chrono::seconds(10), [&](const http::ClientResult&) {
+    requests.push_back(peers.Forward(
+        leader.Record().address, {}, std::chrono::seconds(10),
+        [&](const http::ClientResult&) {
           // The last one stays in flight.
           for (std::size_t other = 0; other + 1 < kRequests; ++other) {
             peers.Cancel(requests[other]);
--- a/tests/resubmission_test.cc
+++ b/tests/resubmission_test.cc
@@ -420,6 +420,63 @@
   AssertOneRunAtATime(rig);
 }
 
+// The same while the open connections to the upstreams are silent.
+Test(resubmission, jobs_of_a_lost_process_end_on_silent_upstreams) {
+  LeaderBehindRelay domain;
+  domain.StartJob();
+  domain.relay.Control("/close_clients", {});
+  domain.SilenceUpstreams();
+  domain.rig.KillNode(domain.entry);
+  domain.rig.RestartNode(domain.entry);
+  domain.rig.loop.RunFor(kRetransmitMs);
+  cr_assert_eq(domain.running(), 0);
+}
+
+// Guards against an instance whose cancel of a job is lost, and whose pings
+// keep the job alive beside its resubmission (TWICE).
+Test(resubmission, job_whose_cancel_is_lost_ends_before_it_comes_again) {
+  LeaderBehindRelay domain;
+  PlatformRig& rig = domain.rig;
+  domain.StartJob();
+  domain.relay.Control("/fault",
+                       {{"silence_open", true}, {"hold_closed", true}});
+  rig.Disconnect(kJob);
+  rig.loop.RunFor(kRetransmitMs);
+  cr_assert_eq(domain.running(), 0);
+  rig.Submit(domain.entry, kJob, 1, "100");
+  cr_assert(rig.WaitForResponses());
+  cr_assert_eq(rig.StatusOf(kJob), 200, "%s", rig.BodyOf(kJob).c_str());
+  AssertOneRunAtATime(rig);
+}
+
+// The same while the open connections to the upstreams are silent.
+Test(resubmission, job_whose_cancel_is_lost_ends_on_silent_upstreams) {
+  LeaderBehindRelay domain;
+  domain.StartJob();
+  domain.relay.Control("/fault",
+                       {{"silence_open", true}, {"hold_closed", true}});
+  domain.SilenceUpstreams();
+  domain.rig.Disconnect(kJob);
+  domain.rig.loop.RunFor(kRetransmitMs);
+  cr_assert_eq(domain.running(), 0);
+}
+
+// Guards against a job whose connection to its leader broke at one end only,
+// and that the leader goes on with after its instance has given it up (TWICE).
+Test(resubmission, job_that_was_forwarded_twice_in_vain_ends) {
+  LeaderBehindRelay domain;
+  PlatformRig& rig = domain.rig;
+  domain.StartJob();
+  domain.relay.Control("/close_clients", {});
+  cr_assert(rig.loop.RunUntil([&] {
+    domain.relay.Control("/close_clients", {});
+    return rig.StatusOf(kJob) != 0;
+  }));
+  cr_assert_eq(rig.StatusOf(kJob), 504, "%s", rig.BodyOf(kJob).c_str());
+  rig.loop.RunFor(kRetransmitMs);
+  cr_assert_eq(domain.running(), 0);
+}
+
 // Guards against a job that stays bound to an earlier leader which has said
 // that it has no run of it, as its domain's leader is not told.
 Test(resubmission, job_without_runs_at_an_earlier_leader_starts) {
--- a/tests/upstream_session_test.cc
+++ b/tests/upstream_session_test.cc
@@ -868,6 +868,41 @@
   cr_assert(!rig.Take<PollRequest>()->lease_expiry_ms);
 }
 
+// Guards against a poll or a start that extends the lease of a run soon after
+// its stop was requested, when the stop may be lost.
+Test(upstream_session, lease_is_not_extended_while_a_stop_is_pending) {
+  SessionRig rig;
+  rig.BecomeReady();
+  rig.Confirm(rig.Start(Run(0)));
+  const PollRequest poll = *rig.Take<PollRequest>();
+  rig.AdvanceBy(milliseconds(100));
+  rig.session.Stop(rig.now, Run(0), rig.outputs);
+  const TimePoint bound = rig.session.lease_bound();
+  rig.session.Start(rig.now, Run(1), "p", rig.outputs);
+  const auto start = rig.Take<StartRequest>();
+  cr_assert(start.has_value(), "enough of the lease is left");
+  rig.AdvanceBy(milliseconds(50));
+  rig.Respond(poll, {Run(0), Run(1)});
+  const PollRequest next = *rig.Take<PollRequest>();
+  cr_assert(!next.lease_expiry_ms);
+  cr_assert(rig.session.lease_bound() == bound);
+  rig.Respond(next, {Run(1)}, {{.number = 1, .run = Run(0)}});
+  cr_assert(rig.Take<PollRequest>()->lease_expiry_ms.has_value());
+}
+
+// Guards against a start whose lease ends before it can be extended.
+Test(upstream_session,
+     start_needs_enough_of_the_lease_while_a_stop_is_pending) {
+  SessionRig rig;
+  rig.BecomeReady();
+  rig.Confirm(rig.Start(Run(0)));
+  rig.now += milliseconds(800);
+  rig.session.Stop(rig.now, Run(0), rig.outputs);
+  rig.session.Start(rig.now, Run(1), "p", rig.outputs);
+  cr_assert(!rig.Take<StartRequest>());
+  cr_assert(rig.EndOf(Run(1)) == RunOutcome::kNotStarted);
+}
+
 // Guards against a start that extends the lease of a run to be stopped before
 // the session has noticed that the stop is late.
 Test(upstream_session, start_beside_an_unconfirmed_stop_is_not_sent) {
