Process withdrawals in pings whose time is for another process

Cause: a ping names the process by whose clock it was sent. One that named another process extended no lease, rightly, but its withdrawals were acknowledged without being processed: after a late response of an earlier process at the address, a lost cancel could stay lost. By reading; not seen in a run. Change: withdrawals are processed whatever process the time is for, as they are numbered by their sender alone. The new test was not run without the change.

--- a/src/control/forwarding_lease.cc
+++ b/src/control/forwarding_lease.cc
@@ -4,16 +4,21 @@
 
 namespace jaypick::control {
 
+void ForwardingLeases::Withdraw(TimePoint now,
+                                const std::string& process,
+                                const std::vector<ForwardNumber>& numbers) {
+  RemoveExpired(now);
+  for (const ForwardNumber number : numbers) {
+    processes_[process].withdrawn[number] = now;
+  }
+}
+
 void ForwardingLeases::Extend(TimePoint now,
                               const std::string& process,
-                              TimePoint sent,
-                              const std::vector<ForwardNumber>& withdrawn) {
+                              TimePoint sent) {
   RemoveExpired(now);
-  Process& known = processes_[process];
-  known.extended = std::max(known.extended, sent);
-  for (const ForwardNumber number : withdrawn) {
-    known.withdrawn[number] = now;
-  }
+  TimePoint& extended = processes_[process].extended;
+  extended = std::max(extended, sent);
 }
 
 bool ForwardingLeases::IsWithdrawn(const std::string& process,
--- a/src/control/forwarding_lease.h
+++ b/src/control/forwarding_lease.h
@@ -28,12 +28,14 @@
 // the node that grants the leases.
 class ForwardingLeases {
  public:
+  // `process` no longer waits for the jobs of these requests.
+  void Withdraw(TimePoint now,
+                const std::string& process,
+                const std::vector<ForwardNumber>& numbers);
+
   // At `sent`, `process` waited for all the jobs that it had forwarded, except
-  // those of the requests in `withdrawn`.
-  void Extend(TimePoint now,
-              const std::string& process,
-              TimePoint sent,
-              const std::vector<ForwardNumber>& withdrawn);
+  // those that it has withdrawn.
+  void Extend(TimePoint now, const std::string& process, TimePoint sent);
 
   // Returns whether `process` has withdrawn the request. A request that is
   // received within a lease after it was sent may arrive after its withdrawal.
--- a/src/node/peer_server.cc
+++ b/src/node/peer_server.cc
@@ -304,12 +304,11 @@
 }
 
 void PeerServer::ExtendLease(const Ping& ping) {
-  const std::string& process = ping.sender.incarnation;
-  const bool is_for_this_process =
-      !ping.sent || ping.sent->incarnation == incarnation_;
-  if (!is_for_this_process) {
+  // The time is that of another process.
+  if (ping.sent && ping.sent->incarnation != incarnation_) {
     return;
   }
+  const std::string& process = ping.sender.incarnation;
   const TimePoint now = runtime_.Now();
   // A lease that has expired is not extended.
   if (leases_.HasExpired(now, process, TimePoint())) {
@@ -317,10 +316,15 @@
   }
   const TimePoint sent =
       ping.sent ? std::min(now, TimePoint(Duration(ping.sent->clock_us))) : now;
-  leases_.Extend(now, process, sent, ping.withdrawn);
+  leases_.Extend(now, process, sent);
+}
+
+void PeerServer::DropWithdrawnJobs(const Ping& ping) {
   if (ping.withdrawn.empty()) {
     return;
   }
+  const std::string& process = ping.sender.incarnation;
+  leases_.Withdraw(runtime_.Now(), process, ping.withdrawn);
   std::vector<std::uint64_t> withdrawn;
   for (const auto& [number, job] : forwarded_jobs_) {
     if (job.entry_incarnation == process &&
@@ -341,6 +345,7 @@
     return;
   }
   const TimePoint now = runtime_.Now();
+  DropWithdrawnJobs(*ping);
   ExtendLease(*ping);
   leadership_manager_.OnPing(*ping);
   for (const std::string& domain : ping->requested_domains) {
--- a/src/node/peer_server.h
+++ b/src/node/peer_server.h
@@ -55,9 +55,9 @@
   void OnForwardedJob(const http::Request& request, http::Responder responder);
   void OnRegistration(const http::Request& request, http::Responder responder);
   void OnPing(const http::Request& request, http::Responder responder);
-  // Extends the lease of the jobs that the sender has forwarded, and drops
-  // those that it has withdrawn.
+  // Extends the lease of the jobs that the sender has forwarded.
   void ExtendLease(const Ping& ping);
+  void DropWithdrawnJobs(const Ping& ping);
   void OnDelegation(const http::Request& request, http::Responder responder);
   void OnJobResult(std::uint64_t number, const JobResult& result);
   ForwardedJobResponse ResponseFor(const Job& job,
--- a/tests/forwarding_lease_test.cc
+++ b/tests/forwarding_lease_test.cc
@@ -18,7 +18,7 @@
   ForwardingLeases leases;
   for (int ms = 0; ms < 2000; ms += 200) {
     const TimePoint now = kStart + milliseconds(ms);
-    leases.Extend(now, "second", now, {});
+    leases.Extend(now, "second", now);
   }
   const TimePoint end = kStart + kForwardingLease;
   cr_assert(!leases.HasExpired(end - Duration(1), "first", kStart));
@@ -30,19 +30,19 @@
 Test(forwarding_lease, is_counted_from_the_time_of_sending) {
   ForwardingLeases leases;
   const TimePoint sent = kStart + milliseconds(200);
-  leases.Extend(kStart + milliseconds(800), "first", sent, {});
+  leases.Extend(kStart + milliseconds(800), "first", sent);
   const TimePoint end = sent + kForwardingLease;
   cr_assert(!leases.HasExpired(end - Duration(1), "first", kStart));
   cr_assert(leases.HasExpired(end, "first", kStart));
   // Messages may arrive in any order.
-  leases.Extend(kStart + milliseconds(900), "first", kStart, {});
+  leases.Extend(kStart + milliseconds(900), "first", kStart);
   cr_assert(!leases.HasExpired(end - Duration(1), "first", kStart));
 }
 
 // Guards against a job whose lease ends with an earlier one of its process.
 Test(forwarding_lease, of_a_job_starts_when_it_was_forwarded) {
   ForwardingLeases leases;
-  leases.Extend(kStart, "first", kStart, {});
+  leases.Extend(kStart, "first", kStart);
   const TimePoint forwarded = kStart + milliseconds(500);
   cr_assert(!leases.HasExpired(kStart + kForwardingLease, "first", forwarded));
   cr_assert(
@@ -52,9 +52,10 @@
 // Guards against a request that arrives after its withdrawal, and is accepted.
 Test(forwarding_lease, withdrawals_are_known_for_as_long_as_requests_may_come) {
   ForwardingLeases leases;
-  leases.Extend(kStart, "first", kStart, {7});
+  leases.Withdraw(kStart, "first", {7});
+  leases.Extend(kStart, "first", kStart);
   const TimePoint end = kStart + kForwardingLease;
-  leases.Extend(end - Duration(1), "first", end - Duration(1), {});
+  leases.Extend(end - Duration(1), "first", end - Duration(1));
   cr_assert(leases.IsWithdrawn("first", 7));
   cr_assert(!leases.IsWithdrawn("first", 6));
   cr_assert(!leases.IsWithdrawn("second", 7));
@@ -65,7 +66,8 @@
   ForwardingLeases leases;
   for (int number = 0; number < 100; ++number) {
     const TimePoint now = kStart + number * kForwardingLease;
-    leases.Extend(now, std::to_string(number), now, {1, 2});
+    leases.Withdraw(now, std::to_string(number), {1, 2});
+    leases.Extend(now, std::to_string(number), now);
   }
   cr_assert_leq(leases.size(), 3);
 }
--- a/tests/peer_server_test.cc
+++ b/tests/peer_server_test.cc
@@ -281,6 +281,20 @@
   cr_assert(pair.rig.loop.RunUntil([&] { return pair.running() == 0; }));
 }
 
+// Guards against a withdrawal that is acknowledged and not processed, as the
+// ping's time is on the clock of another process.
+Test(peer_server, withdrawal_counts_whatever_process_the_time_is_for) {
+  LeaderAndPeer pair;
+  node::Ping ping = pair.PingOf("e1", Duration(0), {7});
+  ping.sent->incarnation = "another";
+  pair.Send(node::kPingPath, Encode(ping));
+  node::ForwardedJob job = pair.Job(kJob);
+  job.number = 7;
+  cr_assert(
+      std::holds_alternative<schedule::Failed>(pair.Forward(job).outcome));
+  cr_assert_eq(pair.rig.run_monitor.started, 0);
+}
+
 // Guards against a request that arrives after its withdrawal, and starts the
 // job (TWICE).
 Test(peer_server, request_that_was_withdrawn_is_not_accepted) {
