Take a leader for silent only after it was asked

Callers would see two runs of a task (TWICE) if their job came again while another domain still runs it: a new leader started jobs without that domain's report, in 15 of 392 sanitizer runs of resubmission/new_leader_waits_for_the_reports_of_other_domains. Cause: it knew the other leader only by the reports of its predecessor, 0.71 to 0.75 s old, took it for silent (0.7 s) and did not wait, while its own pings were not answered yet. Change: such a leader is passed over only once a ping that was sent after the take-over has timed out, or when its process has ended. The reports of other domains are awaited for two timeouts of pings (0.6 s) in place of 0.3 s. Why it works: a leader that responds at all responds to one of these pings, with its report.

--- a/src/node/leadership_manager.cc
+++ b/src/node/leadership_manager.cc
@@ -39,8 +39,11 @@
 constexpr Duration kListRefreshInterval = std::chrono::milliseconds(500);
 // Interval of checks while a new leader holds submissions back.
 constexpr Duration kHoldTick = std::chrono::milliseconds(10);
-// Time in which the leaders of other domains report the jobs of this one.
+// Time in which a predecessor reports its jobs.
 constexpr Duration kReportTimeout = std::chrono::milliseconds(300);
+// Time in which the leaders of other domains report the jobs of this one: two
+// timeouts of pings, of one that did not ask yet and of one that did.
+constexpr Duration kOtherReportsTimeout = std::chrono::milliseconds(600);
 
 // An instance asks for the leadership of its domain if it has at least this
 // many times the processor share of the current leader.
@@ -159,7 +162,7 @@
        held_domain.domain_leader->HasTakenOverAllUpstreams()) ||
       ended_for >= control::LongestLease(settings_.run_lease);
   return have_runs_ended &&
-         (ended_for >= kReportTimeout ||
+         (ended_for >= kOtherReportsTimeout ||
           HaveOtherDomainsReported(failure_domain, take_over));
 }
 
@@ -169,9 +172,13 @@
   return std::ranges::all_of(
       settings_.failure_domains, [&](const std::string& domain) {
         const control::LeaderState state = peers_.LeaderStateOf(domain);
+        // What this node knows of the leader may come from the predecessor's
+        // reports, which have ended.
+        const bool is_silent = state == control::LeaderState::kSilent &&
+                               peers_.HasMissedPing(domain, take_over.since);
         return domain == failure_domain || held_domains_.contains(domain) ||
-               (state != control::LeaderState::kAlive &&
-                state != control::LeaderState::kLeaving) ||
+               state == control::LeaderState::kNone ||
+               state == control::LeaderState::kGone || is_silent ||
                take_over.reporters.contains(
                    peers_.LeaderOf(domain)->incarnation);
       });
--- a/src/node/peers.cc
+++ b/src/node/peers.cc
@@ -214,6 +214,14 @@
                                 : runtime_.Now() - it->second.state_since;
 }
 
+bool Peers::HasMissedPing(const std::string& failure_domain,
+                          TimePoint since) const {
+  const LeaderRecord* const leader = LeaderOf(failure_domain);
+  const auto peer =
+      leader == nullptr ? peers_.end() : peers_.find(leader->address);
+  return peer != peers_.end() && peer->second.missed_ping >= since;
+}
+
 const LeadershipStatus* Peers::Status(const std::string& failure_domain) const {
   const auto it = monitored_.find(failure_domain);
   return it == monitored_.end()
@@ -357,19 +365,9 @@
     addresses.insert(address);
   }
   for (const Address& address : addresses) {
-    Peer& peer = peers_[address];
-    if (peer.pending_pings >= kPingConnections) {
-      continue;
+    if (peers_[address].pending_pings < kPingConnections) {
+      SendPing(address, [] {});
     }
-    ++peer.pending_pings;
-    peer.last_ping = now;
-    ping_client_.Send(address,
-                      {.method = http::Method::kPost,
-                       .path = kPingPath,
-                       .body = EncodePingTo(address)},
-                      [this, address](const http::ClientResult& result) {
-                        OnPingResult(address, result);
-                      });
   }
   Duration interval = predecessors_.empty() ? options_.ping_interval
                                             : options_.hand_over_interval;
@@ -408,20 +406,26 @@
     callback(LeaderState::kNone);
     return;
   }
-  const Address address = leader->address;
+  SendPing(leader->address,
+           [this, failure_domain, callback = std::move(callback)] {
+             callback(LeaderStateOf(failure_domain));
+           });
+}
+
+void Peers::SendPing(const Address& address, std::function<void()> on_end) {
   Peer& peer = peers_[address];
+  const TimePoint now = runtime_.Now();
   ++peer.pending_pings;
-  peer.last_ping = runtime_.Now();
-  ping_client_.Send(
-      address,
-      {.method = http::Method::kPost,
-       .path = kPingPath,
-       .body = EncodePingTo(address)},
-      [this, address, failure_domain,
-       callback = std::move(callback)](const http::ClientResult& result) {
-        OnPingResult(address, result);
-        callback(LeaderStateOf(failure_domain));
-      });
+  peer.last_ping = now;
+  ping_client_.Send(address,
+                    {.method = http::Method::kPost,
+                     .path = kPingPath,
+                     .body = EncodePingTo(address)},
+                    [this, address, sent = now, on_end = std::move(on_end)](
+                        const http::ClientResult& result) {
+                      OnPingResult(address, sent, result);
+                      on_end();
+                    });
 }
 
 std::vector<RelayedStatus> Peers::RelayedStatuses(
@@ -489,6 +493,7 @@
 // them. That says nothing about a process that leads a domain from the same
 // address later, so refusals are not counted.
 void Peers::OnPingResult(const Address& address,
+                         TimePoint sent,
                          const http::ClientResult& result) {
   Peer& peer = peers_[address];
   --peer.pending_pings;
@@ -497,6 +502,7 @@
     // A timeout may also be caused by the network.
     const bool is_refused = error->not_sent && !error->timed_out;
     if (error->timed_out) {
+      peer.missed_ping = std::max(peer.missed_ping, sent);
       request_client_.CloseIdle(address);
     }
     if (!is_refused) {
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -112,6 +112,11 @@
   // Time since the current state was first seen.
   Duration LeaderStateAge(const std::string& failure_domain);
 
+  // True if this node has pinged the domain's leader at `since` or later and
+  // got no response in time. Until then, a leader that counts as silent may
+  // only not have been asked.
+  bool HasMissedPing(const std::string& failure_domain, TimePoint since) const;
+
   // The last status of the domain reported by its leader, or null.
   const LeadershipStatus* Status(const std::string& failure_domain) const;
 
@@ -156,6 +161,8 @@
     std::string incarnation;
     TimePoint last_response;
     TimePoint last_ping;
+    // When the last ping that timed out was sent.
+    TimePoint missed_ping;
     // When it last responded to a leader that reported on it.
     TimePoint last_relayed;
     std::int64_t clock_us = 0;
@@ -203,7 +210,11 @@
                        http::Request request,
                        Duration timeout,
                        http::ClientCallback callback);
-  void OnPingResult(const Address& address, const http::ClientResult& result);
+  // Sends a ping, and calls `on_end` after its result has been processed.
+  void SendPing(const Address& address, std::function<void()> on_end);
+  void OnPingResult(const Address& address,
+                    TimePoint sent,
+                    const http::ClientResult& result);
   void OnRelayedStatus(const RelayedStatus& relayed, TimePoint now);
   // `is_withdrawn` if the peer may go on with the forwarded job.
   void OnRequestEnded(const Destination& destination, bool is_withdrawn);
--- a/standins/relay.cc
+++ b/standins/relay.cc
@@ -79,6 +79,7 @@
 }
 
 Relay::~Relay() {
+  *is_alive_ = false;
   StopListening();
   CloseAll();
 }
@@ -155,9 +156,12 @@
   if (state.delay == Duration{0}) {
     return Deliver(id, direction, bytes);
   }
-  RunAfter(base_, state.delay, [this, id, direction, bytes = std::move(bytes)] {
-    Deliver(id, direction, bytes);
-  });
+  RunAfter(base_, state.delay,
+           [this, id, direction, bytes = std::move(bytes), alive = is_alive_] {
+             if (*alive) {
+               Deliver(id, direction, bytes);
+             }
+           });
 }
 
 void Relay::Deliver(std::uint64_t id,
--- a/standins/relay.h
+++ b/standins/relay.h
@@ -95,6 +95,7 @@
   std::uint64_t next_id_ = 1;
   std::map<std::uint64_t, std::unique_ptr<Link>> links_;
   WireServer control_;
+  std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace jaypick::standin
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -363,6 +363,30 @@
       [&] { return leader.pings > 0 && leader.withdrawn.empty(); }));
 }
 
+// Guards against a leader that counts as silent, as nobody has asked it lately,
+// and is passed over although it would respond.
+Test(peers, leader_misses_a_ping_only_after_it_was_asked) {
+  testing::EventLoop loop;
+  Runtime runtime(loop.base());
+  FakeLeader leader(loop, "ghent");
+  Peers peers(
+      runtime, {}, [] { return PingFromGhent(); },
+      [](const Address&, const PingResponse&) {});
+  peers.MonitorLeader("ghent", leader.Record(), 10);
+  const TimePoint start = runtime.Now();
+  cr_assert_eq(peers.LeaderStateOf("ghent"), control::LeaderState::kSilent);
+  cr_assert(!peers.HasMissedPing("ghent", start));
+  cr_assert(loop.RunUntil([&] { return leader.pings >= 3; }));
+  cr_assert(!peers.HasMissedPing("ghent", TimePoint() + Duration(1)));
+  leader.is_silent = true;
+  const TimePoint silent = runtime.Now();
+  cr_assert(
+      loop.RunUntil([&] { return peers.HasMissedPing("ghent", silent); }));
+  cr_assert_geq((runtime.Now() - silent).count(),
+                Duration(PeerOptions().ping_timeout).count());
+  cr_assert(!peers.HasMissedPing("ghent", runtime.Now()));
+}
+
 // Guards against a crash when a request is cancelled after its response has
 // been read, before the callback runs: scenario bfp-pasbank-large trouble-1 and
 // trouble-3, when callers left.
