Evacuate a failure domain on the operators' request

Operators can empty a failure domain and take it back by a key in the store.

Every node mirrors the operators' keys with the watch that carried the routes. The domain's leader refuses what has not begun, lets jobs that have begun start their remaining tasks for one second, and reports no room; entry instances submit refused jobs to other domains. A node that has read no operators' keys claims no domain.

--- a/src/control/domain_choice.cc
+++ b/src/control/domain_choice.cc
@@ -14,7 +14,8 @@
     const DomainCandidate& candidate = domains[i];
     const bool is_excluded =
         std::ranges::find(excluded, candidate.failure_domain) != excluded.end();
-    if (!candidate.is_reachable || is_excluded || candidate.cores <= 0) {
+    if (!candidate.is_reachable || candidate.is_evacuated || is_excluded ||
+        candidate.cores <= 0) {
       continue;
     }
     const Duration cost =
--- a/src/control/domain_choice.h
+++ b/src/control/domain_choice.h
@@ -16,6 +16,8 @@
   bool is_own_domain = false;
   // The leader of the domain can be reached.
   bool is_reachable = false;
+  // The operators have evacuated the domain.
+  bool is_evacuated = false;
   // Expected queueing time of a task in the domain, from the last load report.
   Duration wait{0};
   // Cores of the domain's usable upstreams.
--- a/src/node/caller_server.cc
+++ b/src/node/caller_server.cc
@@ -218,7 +218,8 @@
   for (const std::string& domain : settings_.failure_domains) {
     control::DomainCandidate candidate{
         .failure_domain = domain,
-        .is_own_domain = domain == settings_.failure_domain};
+        .is_own_domain = domain == settings_.failure_domain,
+        .is_evacuated = view_.evacuated_domains().contains(domain)};
     if (DomainLeader* const domain_leader = leadership_manager_.Find(domain);
         domain_leader != nullptr && !domain_leader->is_draining()) {
       const schedule::LoadReport load = domain_leader->Load();
@@ -319,8 +320,12 @@
   while (true) {
     const auto choice = control::ChooseDomain({}, domains, job.tried_domains);
     if (!choice) {
+      const bool are_all_evacuated =
+          std::ranges::all_of(domains, &control::DomainCandidate::is_evacuated);
       Respond(id,
-              schedule::Refused{.reason = RefusalReason::kNoUpstream,
+              schedule::Refused{.reason = are_all_evacuated
+                                              ? RefusalReason::kEvacuated
+                                              : RefusalReason::kNoUpstream,
                                 .retry_after = kRetryAfter},
               {});
       return;
@@ -711,7 +716,8 @@
       job.may_have_run || (refused != nullptr && refused->may_have_run);
   const bool may_retry = refused != nullptr &&
                          refused->reason != RefusalReason::kTooLong &&
-                         job.tried_domains.size() + 1 < kMaxDomainsPerJob &&
+                         (refused->reason == RefusalReason::kEvacuated ||
+                          job.tried_domains.size() + 1 < kMaxDomainsPerJob) &&
                          runtime_.Now() < job.deadline;
   if (!may_retry) {
     Respond(id, outcome, trace);
--- a/src/node/domain_leader.cc
+++ b/src/node/domain_leader.cc
@@ -99,6 +99,35 @@
   ProcessPending(now);
 }
 
+void DomainLeader::SetEvacuated(bool is_evacuated) {
+  if (is_lost_ || is_evacuated == scheduler_.is_evacuated()) {
+    return;
+  }
+  const TimePoint now = runtime_.Now();
+  LogEvent(LogLevel::kInfo,
+           is_evacuated ? "domain_evacuated" : "domain_taken_back",
+           {{"domain", options_.failure_domain},
+            {"jobs", std::to_string(scheduler_.jobs())},
+            {"waiting_tasks", std::to_string(scheduler_.waiting_tasks())},
+            {"running_tasks", std::to_string(scheduler_.running_tasks())}});
+  has_logged_emptied_ = false;
+  load_updated_ = TimePoint();
+  schedule::Actions actions;
+  scheduler_.SetEvacuated(now, is_evacuated, actions);
+  Execute(now, std::move(actions));
+  ProcessPending(now);
+}
+
+void DomainLeader::LogEmptied() {
+  if (has_logged_emptied_ || !scheduler_.is_evacuated() ||
+      scheduler_.running_tasks() > 0) {
+    return;
+  }
+  has_logged_emptied_ = true;
+  LogEvent(LogLevel::kInfo, "domain_emptied",
+           {{"domain", options_.failure_domain}});
+}
+
 void DomainLeader::SetStartLimit(TimePoint limit) {
   const TimePoint now = runtime_.Now();
   const bool was_held = now >= scheduler_.start_limit();
@@ -404,6 +433,7 @@
     ReleaseIdleUpstreams();
   }
   is_processing_ = false;
+  LogEmptied();
   ArmTimer(now);
 }
 
--- a/src/node/domain_leader.h
+++ b/src/node/domain_leader.h
@@ -76,6 +76,9 @@
                     const std::set<std::string>& predecessor_upstreams,
                     TimePoint start_limit);
 
+  // The operators evacuate the domain, or take it back.
+  void SetEvacuated(bool is_evacuated);
+
   // Changes the limit because the current list was confirmed or can no longer
   // be updated. Must not be called for a newer list than that of the last call
   // of `SetUpstreams`.
@@ -213,6 +216,8 @@
   void ReleaseIdleUpstreams();
   void ArmTimer(TimePoint now);
   void LogStartLimit(TimePoint now);
+  // Logs once when the last run of an evacuated domain has ended.
+  void LogEmptied();
   void LoseLeadership(TimePoint now);
 
   Runtime& runtime_;
@@ -235,6 +240,7 @@
   bool are_starts_held_ = false;
   bool is_handing_over_ = false;
   bool is_draining_ = false;
+  bool has_logged_emptied_ = false;
   bool has_been_fenced_ = false;
   // An upstream has left the list before it responded to this leader.
   bool has_left_upstream_ = false;
--- a/src/node/leadership_claims.cc
+++ b/src/node/leadership_claims.cc
@@ -128,7 +128,8 @@
   if (control::ShouldTakeLeadership({}, election)) {
     upstreams_wanted_until_ = now + kClaimTimeout;
     view_.SetUpstreamsWatched(true);
-    if (!view_.has_read_upstreams()) {
+    // The domain may be evacuated.
+    if (!view_.has_read_upstreams() || !view_.has_read_operator_keys()) {
       return;
     }
     const bool has_upstreams = HasUpstreams(failure_domain);
--- a/src/node/leadership_delegation.cc
+++ b/src/node/leadership_delegation.cc
@@ -119,7 +119,10 @@
     const auto record = view_.leaders().find(domain);
     const bool is_outdated =
         record != view_.leaders().end() && record->second.revision > revision;
-    return !is_draining_ && !held_domains_.contains(domain) && !is_outdated &&
+    // Without the operators' keys, the domain may be evacuated unknown to this
+    // node.
+    return view_.has_read_operator_keys() && !is_draining_ &&
+           !held_domains_.contains(domain) && !is_outdated &&
            IsOwn(delegation.to);
   };
   if (!can_accept()) {
--- a/src/node/leadership_manager.cc
+++ b/src/node/leadership_manager.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "control/evacuation.h"
 #include "control/fencing_token.h"
 #include "control/run_bounds.h"
 #include "control/start_limit.h"
@@ -366,6 +367,8 @@
   peers_.MonitorLeader(failure_domain, OwnRecord(), token);
   // Asks all leaders for the jobs of this domain.
   peers_.PingAll();
+  held_domain.domain_leader->SetEvacuated(
+      view_.evacuated_domains().contains(failure_domain));
   held_domain.domain_leader->SetUpstreams(view_.upstreams(),
                                           held_domain.predecessor_upstreams,
                                           StartLimit(held_domain));
@@ -498,6 +501,34 @@
   }
 }
 
+void LeadershipManager::OnEvacuationsChanged() {
+  const std::set<std::string>& evacuated = view_.evacuated_domains();
+  const control::EvacuationChanges changes = control::CompareEvacuations(
+      settings_.failure_domains, logged_evacuations_, evacuated);
+  for (const std::string& domain : changes.begun) {
+    LogEvent(LogLevel::kInfo, "evacuation_requested", {{"domain", domain}});
+  }
+  for (const std::string& domain : changes.ended) {
+    LogEvent(LogLevel::kInfo, "evacuation_ended", {{"domain", domain}});
+  }
+  for (const std::string& domain : changes.unknown) {
+    LogEvent(LogLevel::kWarning, "evacuation_of_unknown_domain",
+             {{"domain", domain}});
+  }
+  logged_evacuations_ = evacuated;
+  for (auto& [domain, held_domain] : held_domains_) {
+    held_domain.domain_leader->SetEvacuated(evacuated.contains(domain));
+  }
+}
+
+std::map<std::string, std::size_t> LeadershipManager::RunningTasks() const {
+  std::map<std::string, std::size_t> running;
+  for (const auto& [domain, held_domain] : held_domains_) {
+    running[domain] = held_domain.domain_leader->scheduler().running_tasks();
+  }
+  return running;
+}
+
 void LeadershipManager::OnPause() {
   for (auto& [domain, held_domain] : held_domains_) {
     held_domain.domain_leader->OnPause();
--- a/src/node/leadership_manager.h
+++ b/src/node/leadership_manager.h
@@ -57,6 +57,8 @@
   // Called when the upstreams or the leader records of the store view change.
   void OnUpstreamsChanged();
   void OnLeadersChanged();
+  // Called when the operators evacuate failure domains or take them back.
+  void OnEvacuationsChanged();
   // Called after the process was paused, e.g. because the machine was
   // suspended.
   void OnPause();
@@ -91,6 +93,8 @@
   // node is the better choice, else an empty list.
   std::vector<std::string> RequestedDomains();
   std::vector<LeadershipStatus> Statuses();
+  // Runs in each domain that this node leads.
+  std::map<std::string, std::size_t> RunningTasks() const;
   bool leads_any_domain() const { return !held_domains_.empty(); }
   const std::vector<Delegation>& delegations() const { return delegations_; }
   // Upstreams that this node and its peers have lost.
@@ -261,6 +265,8 @@
   // When a response of the store last showed that the mirror lags behind.
   std::map<std::string, TimePoint> stale_view_times_;
   std::map<std::string, Peer> known_peers_;
+  // What the operators asked for when it was last logged.
+  std::set<std::string> logged_evacuations_;
   std::vector<Delegation> delegations_;
   // What leaderships that were handed over would report.
   std::map<std::string, HandedOverJobs> handed_over_jobs_;
--- a/src/node/message_codec.h
+++ b/src/node/message_codec.h
@@ -51,6 +51,8 @@
   virtual ~MessageCodec() = default;
 
   // Keys in the store that are written by the operators and by the upstreams.
+  // All keys of the operators begin with the prefix.
+  virtual std::string operator_prefix() const = 0;
   virtual std::string configuration_key() const = 0;
   virtual std::string upstream_prefix() const = 0;
 
@@ -63,6 +65,11 @@
       const KeyValue& item,
       std::string& fault) const = 0;
 
+  // The failure domain that the operators evacuate as long as there is a key
+  // `key`; nullopt if the key means something else.
+  virtual std::optional<std::string> EvacuatedDomain(
+      std::string_view key) const = 0;
+
   // `route` is the route selected by the host and path of the request.
   virtual CallerRequest DecodeCallerRequest(const http::Request& request,
                                             const Route& route) const = 0;
--- a/src/node/metrics.cc
+++ b/src/node/metrics.cc
@@ -34,6 +34,14 @@
                  .Help("Cores of the usable upstreams of a domain that is "
                        "commanded here.")
                  .Register(registry_)),
+      evacuated_(BuildGauge()
+                     .Name("jaypick_node_evacuated")
+                     .Help("1 while the operators evacuate the domain.")
+                     .Register(registry_)),
+      running_(BuildGauge()
+                   .Name("jaypick_node_running_tasks")
+                   .Help("Tasks at work in a domain that is commanded here.")
+                   .Register(registry_)),
       configuration_version_(BuildGauge()
                                  .Name("jaypick_node_configuration_version")
                                  .Help("Version in force.")
@@ -89,6 +97,21 @@
   dropped_log_lines_.Set(static_cast<double>(dropped_log_lines));
 }
 
+void NodeMetrics::UpdateEvacuations(
+    const std::vector<std::string>& failure_domains,
+    const std::set<std::string>& evacuated,
+    const std::map<std::string, std::size_t>& running_tasks) {
+  for (const std::string& domain : failure_domains) {
+    evacuated_.Add({{"domain", domain}})
+        .Set(evacuated.contains(domain) ? 1 : 0);
+    const auto running = running_tasks.find(domain);
+    running_.Add({{"domain", domain}})
+        .Set(running == running_tasks.end()
+                 ? 0
+                 : static_cast<double>(running->second));
+  }
+}
+
 std::string NodeMetrics::Serialize() const {
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -2,7 +2,9 @@
 #ifndef JAYPICK_NODE_METRICS_H_
 #define JAYPICK_NODE_METRICS_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,6 +36,12 @@
               const StoreView& view,
               std::uint64_t dropped_log_lines);
 
+  // Updates the gauges that show evacuations of failure domains.
+  void UpdateEvacuations(
+      const std::vector<std::string>& failure_domains,
+      const std::set<std::string>& evacuated,
+      const std::map<std::string, std::size_t>& running_tasks);
+
   std::string Serialize() const;
 
  private:
@@ -47,6 +55,8 @@
   prometheus::Family<prometheus::Histogram>& seconds_;
   prometheus::Family<prometheus::Gauge>& backlog_;
   prometheus::Family<prometheus::Gauge>& cores_;
+  prometheus::Family<prometheus::Gauge>& evacuated_;
+  prometheus::Family<prometheus::Gauge>& running_;
   prometheus::Gauge& configuration_version_;
   prometheus::Gauge& store_connected_;
   prometheus::Gauge& upstreams_;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -47,7 +47,9 @@
             {.on_upstreams_changed =
                  [this] { leadership_manager_.OnUpstreamsChanged(); },
              .on_leaders_changed =
-                 [this] { leadership_manager_.OnLeadersChanged(); }}),
+                 [this] { leadership_manager_.OnLeadersChanged(); },
+             .on_evacuations_changed =
+                 [this] { leadership_manager_.OnEvacuationsChanged(); }}),
       peers_(
           runtime_,
           {.ping_interval = settings_.ping_interval},
@@ -114,6 +116,9 @@
       [this](const http::Request&, http::Responder responder) {
         metrics_.Update(leadership_manager_.Statuses(), view_,
                         daemon::DroppedLogLines());
+        metrics_.UpdateEvacuations(settings_.failure_domains,
+                                   view_.evacuated_domains(),
+                                   leadership_manager_.RunningTasks());
         responder.Send({.body = metrics_.Serialize(),
                         .content_type = "text/plain; version=0.0.4"});
       });
--- a/src/node/store_view.cc
+++ b/src/node/store_view.cc
@@ -34,8 +34,8 @@
       listener_(std::move(listener)),
       configuration_mirror_(runtime,
                             store,
-                            codec.configuration_key(),
-                            [this] { OnConfiguration(); }),
+                            codec.operator_prefix(),
+                            [this] { OnOperatorKeys(); }),
       upstream_mirror_(runtime,
                        store,
                        codec.upstream_prefix(),
@@ -73,18 +73,32 @@
   return LeaderKey(failure_domain) + std::string(kLastLeaderSuffix);
 }
 
-void StoreView::OnConfiguration() {
-  const auto& items = configuration_mirror_.items();
-  const auto it = items.find(codec_.configuration_key());
-  if (it == items.end()) {
+void StoreView::OnOperatorKeys() {
+  std::set<std::string> evacuated;
+  for (const auto& [key, item] : configuration_mirror_.items()) {
+    if (key == codec_.configuration_key()) {
+      OnConfiguration(item);
+    } else if (auto domain = codec_.EvacuatedDomain(key)) {
+      evacuated.insert(*std::move(domain));
+    }
+  }
+  if (evacuated != evacuated_domains_) {
+    evacuated_domains_ = std::move(evacuated);
+    listener_.on_evacuations_changed();
+  }
+}
+
+void StoreView::OnConfiguration(const KeyValue& item) {
+  if (std::exchange(routing_revision_, item.mod_revision) ==
+      item.mod_revision) {
     return;
   }
   std::string fault;
-  auto table = codec_.DecodeRouting(it->second.value, fault);
+  auto table = codec_.DecodeRouting(item.value, fault);
   if (!table) {
-    LogEvent(LogLevel::kError, "configuration_unreadable",
-             {{"fault", fault},
-              {"revision", std::to_string(it->second.mod_revision)}});
+    LogEvent(
+        LogLevel::kError, "configuration_unreadable",
+        {{"fault", fault}, {"revision", std::to_string(item.mod_revision)}});
     return;
   }
   if (routing_ && table->version <= routing_->version) {
@@ -93,7 +107,7 @@
   LogEvent(LogLevel::kInfo, "configuration_in_force",
            {{"version", std::to_string(table->version)},
             {"routes", std::to_string(table->routes.size())},
-            {"revision", std::to_string(it->second.mod_revision)}});
+            {"revision", std::to_string(item.mod_revision)}});
   routing_ = std::move(table);
 }
 
--- a/src/node/store_view.h
+++ b/src/node/store_view.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,7 @@
   struct Listener {
     std::function<void()> on_upstreams_changed;
     std::function<void()> on_leaders_changed;
+    std::function<void()> on_evacuations_changed;
   };
 
   // The parts of the store that are mirrored.
@@ -69,6 +71,15 @@
   // The routes in force, or null before the first configuration was read.
   // Versions never decrease.
   const RoutingTable* routing() const;
+  // Failure domains that the operators ask to evacuate, also unknown ones.
+  const std::set<std::string>& evacuated_domains() const {
+    return evacuated_domains_;
+  }
+  // True once what the operators ask for has been read here or by a peer. Only
+  // then does a domain that is not named count as in use.
+  bool has_read_operator_keys() const {
+    return configuration_mirror_.revision() > 0;
+  }
   const std::map<std::string, schedule::Upstream>& upstreams() const {
     return upstreams_;
   }
@@ -120,7 +131,8 @@
 
  private:
   const PrefixMirror& MirrorOf(Part part) const;
-  void OnConfiguration();
+  void OnOperatorKeys();
+  void OnConfiguration(const KeyValue& item);
   void OnUpstreams();
   void OnLeaderRecords();
   void DropMissingUpstreams();
@@ -129,6 +141,9 @@
   const MessageCodec& codec_;
   Listener listener_;
   std::optional<RoutingTable> routing_;
+  // Store revision that `routing_` was decoded from.
+  std::int64_t routing_revision_ = 0;
+  std::set<std::string> evacuated_domains_;
   std::map<std::string, schedule::Upstream> upstreams_;
   // Revision from which each entry of `upstreams_` was decoded, and since when
   // an entry has been missing from the store. By key.
--- a/src/schedule/fleet.cc
+++ b/src/schedule/fleet.cc
@@ -63,11 +63,44 @@
     states_.emplace_back();
   }
   State& state = states_[it->second];
+  if (is_slow_start_enabled_ && upstream.is_cold && !state.upstream.is_cold) {
+    state.slow_start_limit = 1;
+  }
   state.upstream = upstream;
   state.is_listed = true;
   return it->second;
 }
 
+void Fleet::EnableSlowStart() {
+  is_slow_start_enabled_ = true;
+  for (State& state : states_) {
+    if (state.is_listed && state.upstream.is_cold) {
+      state.slow_start_limit = 1;
+    }
+  }
+}
+
+std::optional<std::uint32_t> Fleet::slow_start_limit(
+    std::uint32_t number) const {
+  return states_[number].slow_start_limit;
+}
+
+void Fleet::ContinueSlowStart(State& state, double ratio) const {
+  if (!state.slow_start_limit) {
+    return;
+  }
+  if (ratio > kSlowThreshold * std::max(1.0, median_slowdown_)) {
+    state.slow_start_limit = 1;
+    return;
+  }
+  const std::uint32_t slots =
+      state.upstream.slots == 0 ? kDefaultSlots : state.upstream.slots;
+  *state.slow_start_limit *= 2;
+  if (*state.slow_start_limit >= slots) {
+    state.slow_start_limit.reset();
+  }
+}
+
 void Fleet::Remove(std::uint32_t number) {
   states_[number].is_listed = false;
   states_[number].is_ready = false;
@@ -158,6 +191,9 @@
       !Contains(upstream.labels, query.required_label)) {
     return false;
   }
+  if (state.slow_start_limit && state.running >= *state.slow_start_limit) {
+    return false;
+  }
   // An upstream that was ejected or is slow gets one task at a time.
   const bool is_on_probation =
       state.failures_in_row >= kFailuresToEject || IsSlow(state);
@@ -291,6 +327,7 @@
   const double sample = std::min(ratio, kMaxRunTimeRatio);
   State& state = states_[number];
   state.slowdown += kSlowdownWeight * (sample - state.slowdown);
+  ContinueSlowStart(state, sample);
   std::vector<double> listed;
   for (const State& each : states_) {
     if (each.is_listed) {
@@ -327,8 +364,11 @@
                              const Resources& needs,
                              TimePoint now) const {
   const State& state = states_[number];
-  return IsUsable(state, now) && !IsSlow(state) ? SlotsIn(state.upstream, needs)
-                                                : 0;
+  if (!IsUsable(state, now) || IsSlow(state)) {
+    return 0;
+  }
+  return std::min(SlotsIn(state.upstream, needs),
+                  state.slow_start_limit.value_or(kUnlimited));
 }
 
 std::uint32_t Fleet::Slots(const std::string& service,
--- a/src/schedule/fleet.h
+++ b/src/schedule/fleet.h
@@ -28,6 +28,8 @@
   std::uint32_t slots = 0;
   std::vector<std::string> labels;
   bool is_draining = false;
+  // Tasks take longer than usual there for a while.
+  bool is_cold = false;
 
   friend bool operator==(const Upstream&, const Upstream&) = default;
 };
@@ -76,6 +78,14 @@
   // Adds the upstream or updates its listing. Returns its number.
   std::uint32_t Update(const Upstream& upstream);
 
+  // From now on, an upstream that becomes cold, or is cold already, gets a slow
+  // start: one task at a time, and twice as many after each run that took about
+  // as long as predicted.
+  void EnableSlowStart();
+  // Number of tasks that an upstream may run at once during its slow start;
+  // nothing otherwise.
+  std::optional<std::uint32_t> slow_start_limit(std::uint32_t number) const;
+
   // The service discovery no longer lists the upstream.
   void Remove(std::uint32_t number);
 
@@ -171,6 +181,8 @@
     // Smoothed ratio of real to predicted run times.
     double slowdown = 1;
     TimePoint last_start;
+    // Only during a slow start.
+    std::optional<std::uint32_t> slow_start_limit;
   };
 
   bool IsUsable(const State& state, TimePoint now) const;
@@ -180,6 +192,11 @@
                TimePoint now) const;
   double Cost(const State& state, const PlacementQuery& query) const;
 
+  // A run on an upstream in its slow start took `ratio` times as long as
+  // predicted.
+  void ContinueSlowStart(State& state, double ratio) const;
+
+  bool is_slow_start_enabled_ = false;
   std::vector<State> states_;
   std::map<std::string, std::uint32_t> by_id_;
   // Median slowdown of the listed upstreams.
--- a/src/schedule/messages.cc
+++ b/src/schedule/messages.cc
@@ -95,6 +95,8 @@
       return "abandoned";
     case RefusalReason::kCommandLost:
       return "command_lost";
+    case RefusalReason::kEvacuated:
+      return "evacuated";
   }
   return "unknown";
 }
--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -100,6 +100,8 @@
   kAbandoned,
   // This instance lost the leadership of the upstreams' domain.
   kCommandLost,
+  // The operators have evacuated the upstreams' domain.
+  kEvacuated,
 };
 
 std::string_view ToString(RefusalReason reason);
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -45,7 +45,8 @@
   return is_fault_of_job ? HealthSignal::kNeutral : HealthSignal::kFailed;
 }
 
-Scheduler::Scheduler(SchedulerOptions options) : options_(std::move(options)) {
+Scheduler::Scheduler(SchedulerOptions options)
+    : options_(std::move(options)), evacuation_(options_.evacuation) {
   if (!options_.crash_history) {
     options_.crash_history = CrashHistoryPointer(new CrashHistory);
   }
@@ -57,6 +58,7 @@
 
 void Scheduler::Advance(TimePoint now, Actions& actions) {
   CheckDeadlines(now, actions);
+  ApplyEvacuation(now, actions);
   if (now >= next_straggler_check_) {
     next_straggler_check_ = now + options_.straggler_check_interval;
     CheckStragglers(now, actions);
@@ -73,6 +75,10 @@
     return std::nullopt;
   }
   TimePoint next = std::max(next_straggler_check_, now);
+  if (const auto grace_end = evacuation_.grace_end();
+      grace_end && *grace_end > now) {
+    next = std::min(next, *grace_end);
+  }
   if (is_shed_due_) {
     next = std::min(next, std::max(next_shed_, now));
   }
@@ -134,8 +140,35 @@
           .tasks_per_upstream = spec.tasks_per_upstream};
 }
 
+void Scheduler::SetEvacuated(TimePoint now,
+                             bool is_evacuated,
+                             Actions& actions) {
+  if (is_evacuated) {
+    evacuation_.Begin(now);
+    ApplyEvacuation(now, actions);
+  } else if (evacuation_.is_in_progress()) {
+    evacuation_.End();
+    fleet_.EnableSlowStart();
+  }
+}
+
+void Scheduler::ApplyEvacuation(TimePoint now, Actions& actions) {
+  if (!evacuation_.is_in_progress()) {
+    return;
+  }
+  std::vector<JobPointer> ended;
+  for (Job& job : queue_) {
+    if (evacuation_.Assess(now, job.starts) != EvacuationVerdict::kMayStart) {
+      ended.emplace_back(&job);
+    }
+  }
+  for (const JobPointer& job : ended) {
+    Fail(now, *job, RefusalReason::kEvacuated, actions);
+  }
+}
+
 void Scheduler::StartWaitingTasks(TimePoint now, Actions& actions) {
-  if (now >= start_limit_) {
+  if (now >= start_limit_ || evacuation_.PreventsAllStarts(now)) {
     return;
   }
   // Processor need of the smallest task that could not be placed, by service.
@@ -483,7 +516,10 @@
     step.waiting = 0;
   }
   if (!std::holds_alternative<Completed>(outcome)) {
-    served_fractions_.OnRefused(job.job_class, now);
+    if (!std::holds_alternative<Refused>(outcome) ||
+        !evacuation_.is_in_progress()) {
+      served_fractions_.OnRefused(job.job_class, now);
+    }
     StopRuns(job, actions);
   }
   actions.push_back(JobEnded{.job = job.spec.id,
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -15,6 +15,7 @@
 
 #include "jaypick/time.h"
 #include "schedule/crash_history.h"
+#include "schedule/evacuation.h"
 #include "schedule/fleet.h"
 #include "schedule/forecast.h"
 #include "schedule/job.h"
@@ -45,6 +46,7 @@
   // were lost, including those that only fell silent.
   std::uint32_t max_crashes = 2;
   std::uint32_t max_upstreams_lost = 3;
+  EvacuationOptions evacuation;
   // Shared by the schedulers of one instance. If null, the scheduler keeps its
   // own.
   CrashHistoryPointer crash_history;
@@ -120,6 +122,12 @@
   void SetStartLimit(TimePoint limit) { start_limit_ = limit; }
   TimePoint start_limit() const { return start_limit_; }
 
+  // The operators evacuate the upstreams, or take them back. Jobs that have not
+  // begun are refused; no further job begins, and no capacity is reported.
+  // Upstreams that are cold after they were taken back get a slow start.
+  void SetEvacuated(TimePoint now, bool is_evacuated, Actions& actions);
+  bool is_evacuated() const { return evacuation_.is_in_progress(); }
+
   // The caller no longer waits for the job. The job may be submitted again to
   // another instance, so its runs are stopped.
   void Abandon(TimePoint now, const std::string& id, Actions& actions);
@@ -202,6 +210,8 @@
   // Runs of tasks (scheduler.cc, scheduler_retries.cc).
   HealthSignal HealthOf(const Job& job, const Task& task, RunOutcome outcome);
   void StartWaitingTasks(TimePoint now, Actions& actions);
+  // Ends the waiting jobs that the evacuation in progress keeps from starting.
+  void ApplyEvacuation(TimePoint now, Actions& actions);
   PlacementQuery QueryFor(const Job& job, std::size_t step) const;
   std::optional<std::uint32_t> ReservedUpstreamFor(TimePoint now,
                                                    const Job& job);
@@ -283,6 +293,7 @@
   std::uint64_t shed_passes_ = 0;
   TimePoint next_straggler_check_;
   TimePoint start_limit_ = TimePoint::max();
+  Evacuation evacuation_;
   TimePoint expected_until_;
   // Upstreams that the previous leader still leads; not in the fleet yet.
   std::vector<Upstream> expected_upstreams_;
--- a/src/schedule/scheduler_admission.cc
+++ b/src/schedule/scheduler_admission.cc
@@ -127,6 +127,10 @@
     EndJob(now, job, Failed{.reason = *reason}, actions);
     return;
   }
+  if (evacuation_.is_in_progress()) {
+    Refuse(now, job, RefusalReason::kEvacuated, actions);
+    return;
+  }
   if (const auto reason = CheckOffered(now, job)) {
     Refuse(now, job, *reason, actions);
     return;
@@ -392,6 +396,10 @@
       forecast.Add(step.waiting, step.predicted);
     }
   }
+  if (evacuation_.is_in_progress()) {
+    report.wait = kLongestRetry;
+    return report;
+  }
   report.cores = fleet_.TotalCapacity(now).milli_cpus / 1000.0;
   const TimePoint free = forecast.next_free();
   report.wait = free == TimePoint::max() ? kLongestRetry : free - now;
--- a/src/schedule/scheduler_retries.cc
+++ b/src/schedule/scheduler_retries.cc
@@ -131,6 +131,10 @@
 }
 
 void Scheduler::CheckStragglers(TimePoint now, Actions& actions) {
+  // A run that is stopped could not be retried.
+  if (evacuation_.PreventsAllStarts(now)) {
+    return;
+  }
   std::vector<Running> stragglers;
   for (const auto& [id, run] : running_) {
     const StepState& step = run.job->steps[run.step];
