Bound what clients hold by the machine's memory and descriptors

Clients that sent requests ahead and read no answers ended a process. Cause: as soon as a response was on its way, the read limit of its connection was lifted, and evhttp went on reading what was sent ahead while the response could not be written. Unfinished bodies, chunks and headers, and connections that were left, were bounded by connection only, and new callers were refused at the limit.

ConnectionBudget counts what all connections of a server hold, and chooses which one to close; the limits come from the machine's memory and descriptors (limits.memory_mb, limits.descriptors), divided once for all four servers of a node. While a request is handled and answered, 4 KiB are read ahead. At the memory limit the largest unfinished connection is refused with a 503 and closed, at the connection limit the oldest idle or unfinished one makes room for a new one.

http/refuses_connections_beyond_the_limit expected that an idle connection keeps a new one out. It is replaced by two: a new connection is refused while all others are in use, and takes the place of an idle one otherwise.

--- a/src/daemon/api_server.h
+++ b/src/daemon/api_server.h
@@ -16,12 +16,13 @@
 class ApiServer : public PlugIn {
  public:
   ApiServer(Kernel& kernel, std::string_view interface, const Address& address)
-      : server_(kernel.base(),
-                {.address = address,
-                 .body_limit_bytes = kernel.settings().body_limit_bytes,
-                 .on_oversize_body =
-                     OversizeBodyResponse(kernel.settings().body_limit_bytes),
-                 .connection_limit = kernel.settings().connection_limit}) {
+      : server_(
+            kernel.base(),
+            {.address = address,
+             .body_limit_bytes = kernel.settings().body_limit_bytes,
+             .on_oversize_body =
+                 OversizeBodyResponse(kernel.settings().body_limit_bytes),
+             .limits = {.connections = kernel.settings().connection_limit}}) {
     // From the start of a drain, responses close their connections, so that
     // clients with persistent connections reconnect to other entries.
     kernel.message_bus().Subscribe<ShutdownRequested>(
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -10,15 +10,16 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <map>
-#include <set>
 #include <stdexcept>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "http/connection_budget.h"
 #include "http/evhttp_conversions.h"
 #include "http/socket_options.h"
 
@@ -32,12 +33,21 @@
 constexpr int kInternalError = 500;
 // Limit of the bytes of further requests that are read while a request is being
 // handled.
-constexpr std::size_t kReadAheadBytes = std::size_t{64} * 1024;
+constexpr std::size_t kReadAheadBytes = std::size_t{4} * 1024;
+// evhttp keeps each read as a block of at least this size.
+constexpr std::size_t kMinBlockBytes = 1024;
+// Memory for the bytes of a header, compared with their number: evhttp keeps
+// each line as several allocations.
+constexpr std::size_t kHeaderCost = 16;
+// The same for one header whose size is known, in bytes.
+constexpr std::size_t kHeaderOverhead = 96;
+constexpr int kServiceUnavailable = 503;
 constexpr ev_uint16_t kAllMethods =
     EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
     EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_TRACE |
     EVHTTP_REQ_CONNECT | EVHTTP_REQ_PATCH;
-constexpr std::string_view kTooManyConnections =
+// The request on the connection has not arrived completely, so it has not run.
+constexpr std::string_view kOverLimit =
     "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
     "Content-Length: 0\r\nRetry-After: 1\r\n\r\n";
 
@@ -60,7 +70,9 @@
   return 0;
 }
 
-evconnlistener* Listen(event_base* base, const Address& address) {
+evconnlistener* Listen(event_base* base,
+                       const Address& address,
+                       int receive_buffer_bytes) {
   sockaddr_storage storage{};
   const int size = ToSocketAddress(address, storage);
   evconnlistener* const listener =
@@ -76,6 +88,9 @@
                              std::strerror(errno));
   }
   SetSocketOptions(evconnlistener_get_fd(listener));
+  if (receive_buffer_bytes > 0) {
+    SetReceiveBuffer(evconnlistener_get_fd(listener), receive_buffer_bytes);
+  }
   return listener;
 }
 
@@ -123,10 +138,13 @@
  public:
   Impl(event_base* base, ServerOptions options)
       : options_(std::move(options)),
-        listener_(Listen(base, options_.address)),
+        budget_(options_.limits),
+        listener_(
+            Listen(base, options_.address, options_.receive_buffer_bytes)),
         http_(evhttp_new(base)) {
     port_ = BoundPort(evconnlistener_get_fd(listener_));
     register_event_ = event_new(base, -1, 0, &Impl::OnRegisterAccepted, this);
+    limit_event_ = event_new(base, -1, 0, &Impl::OnOverMemory, this);
     const timeval idle = ToTimeval(options_.idle_timeout);
     evhttp_set_timeout_tv(http_, &idle);
     evhttp_set_max_body_size(
@@ -146,10 +164,12 @@
     for (auto& [connection, call] : calls_) {
       Detach(*call);
     }
-    for (evhttp_connection* const connection : connections_) {
+    for (const auto& [connection, tracked] : connections_) {
       evhttp_connection_set_closecb(connection, nullptr, nullptr);
+      evbuffer_remove_cb(tracked->input, &Impl::OnInput, tracked.get());
     }
     event_free(register_event_);
+    event_free(limit_event_);
     evhttp_free(http_);
   }
 
@@ -173,6 +193,9 @@
 
   void CloseAfterAnswers() { close_after_answers_ = true; }
 
+  const ServerCounters& counters() const { return counters_; }
+  std::size_t buffered_bytes() const { return budget_.bytes(); }
+
   void Respond(Responder::Call& call, Response response) {
     evhttp_request* const request = std::exchange(call.request, nullptr);
     call.is_answered = true;
@@ -181,8 +204,7 @@
       evhttp_request_free(request);
       return;
     }
-    bufferevent_setwatermark(evhttp_connection_get_bufferevent(call.connection),
-                             EV_READ, 0, 0);
+    BeginSending(call.connection, response);
     evkeyvalq& headers = *evhttp_request_get_output_headers(request);
     AddHeaders(headers, response.headers);
     if (!response.content_type.empty()) {
@@ -201,6 +223,14 @@
  private:
   using Methods = std::map<Method, Handler>;
 
+  struct Tracked : ConnectionBudget::Connection {
+    Impl* server = nullptr;
+    evhttp_connection* connection = nullptr;
+    evbuffer* input = nullptr;
+    // Bytes of the request that is being received.
+    std::size_t received = 0;
+  };
+
   // evhttp creates its connection object only after this callback has returned,
   // so `RegisterAccepted` does the rest of the work. Its event runs before the
   // new connection is polled for the first time.
@@ -223,20 +253,126 @@
       void* context = nullptr;
       bufferevent_getcb(accepted, nullptr, nullptr, nullptr, &context);
       auto* const connection = static_cast<evhttp_connection*>(context);
-      if (connections_.size() >= options_.connection_limit) {
-        Refuse(connection, bufferevent_getfd(accepted));
+      if (budget_.is_full()) {
+        if (auto* const oldest = budget_.ChooseForNewcomer()) {
+          ++counters_.closed_for_newcomers;
+          CloseAtLimit(static_cast<Tracked&>(*oldest));
+        }
+      }
+      if (budget_.is_full()) {
+        ++counters_.refused;
+        SendOverLimit(bufferevent_getfd(accepted));
+        evhttp_connection_free(connection);
         continue;
       }
-      connections_.insert(connection);
+      auto tracked = std::make_unique<Tracked>();
+      tracked->server = this;
+      tracked->connection = connection;
+      tracked->input = bufferevent_get_input(accepted);
+      evbuffer_add_cb(tracked->input, &Impl::OnInput, tracked.get());
+      budget_.Add(*tracked);
+      connections_.emplace(connection, std::move(tracked));
       evhttp_connection_set_closecb(connection, &Impl::OnClose, this);
     }
   }
 
-  static void Refuse(evhttp_connection* connection, int socket) {
-    static_cast<void>(::send(socket, kTooManyConnections.data(),
-                             kTooManyConnections.size(),
+  static void SendOverLimit(int socket) {
+    static_cast<void>(::send(socket, kOverLimit.data(), kOverLimit.size(),
                              MSG_NOSIGNAL | MSG_DONTWAIT));
-    evhttp_connection_free(connection);
+  }
+
+  // Closes a connection whose request is not being handled.
+  static void CloseAtLimit(const Tracked& tracked) {
+    // A response that is being written must not be followed by another.
+    if (tracked.phase() == ConnectionPhase::kReceiving) {
+      SendOverLimit(bufferevent_getfd(
+          evhttp_connection_get_bufferevent(tracked.connection)));
+    }
+    evhttp_connection_free(tracked.connection);
+  }
+
+  static void OnOverMemory(int /*socket*/, short /*what*/, void* self) {
+    auto* const server = static_cast<Impl*>(self);
+    while (server->budget_.is_over_memory()) {
+      auto* const chosen = server->budget_.ChooseForMemory();
+      if (chosen == nullptr) {
+        return;
+      }
+      ++server->counters_.closed_for_memory;
+      CloseAtLimit(static_cast<Tracked&>(*chosen));
+    }
+  }
+
+  static void OnInput(evbuffer* /*buffer*/,
+                      const evbuffer_cb_info* info,
+                      void* self) {
+    auto& tracked = *static_cast<Tracked*>(self);
+    if (info->n_added > 0) {
+      tracked.server->OnReceived(tracked, info->n_added);
+    }
+  }
+
+  void OnReceived(Tracked& tracked, std::size_t bytes) {
+    const bool is_ahead = tracked.phase() == ConnectionPhase::kHandling ||
+                          tracked.phase() == ConnectionPhase::kSending;
+    if (is_ahead) {
+      return;
+    }
+    budget_.SetPhase(tracked, ConnectionPhase::kReceiving);
+    const std::size_t header_left =
+        options_.header_limit_bytes -
+        std::min(options_.header_limit_bytes, tracked.received);
+    const std::size_t cost = std::max(bytes, kMinBlockBytes) +
+                             kHeaderCost * std::min(bytes, header_left);
+    tracked.received += bytes;
+    budget_.SetBytes(tracked, tracked.bytes() + cost);
+    // A connection must not be closed while evhttp is reading from it.
+    if (budget_.is_over_memory()) {
+      event_active(limit_event_, 0, 0);
+    }
+  }
+
+  void BeginHandling(evhttp_connection* connection,
+                     const evkeyvalq& headers,
+                     std::size_t body_bytes) {
+    Tracked& tracked = *connections_.at(connection);
+    std::size_t held = body_bytes;
+    for (const evkeyval* header = headers.tqh_first; header != nullptr;
+         header = header->next.tqe_next) {
+      held += std::strlen(header->key) + std::strlen(header->value) +
+              kHeaderOverhead;
+    }
+    tracked.received = 0;
+    budget_.SetBytes(tracked, held);
+    budget_.SetPhase(tracked, ConnectionPhase::kHandling);
+  }
+
+  // Replaces `response` if there is no memory for it.
+  void BeginSending(evhttp_connection* connection, Response& response) {
+    Tracked& tracked = *connections_.at(connection);
+    if (!budget_.HasRoomFor(response.body.size())) {
+      ++counters_.responses_replaced;
+      response = {.status = kServiceUnavailable,
+                  .headers = {{.name = "Retry-After", .value = "1"}},
+                  .body = R"({"error":"out of memory for responses"})"};
+    }
+    budget_.SetPhase(tracked, ConnectionPhase::kSending);
+    budget_.SetBytes(tracked, tracked.bytes() + response.body.size());
+    if (budget_.is_over_memory()) {
+      event_active(limit_event_, 0, 0);
+    }
+  }
+
+  void EndSending(evhttp_connection* connection) {
+    Tracked& tracked = *connections_.at(connection);
+    bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection),
+                             EV_READ, 0, 0);
+    budget_.SetPhase(tracked, ConnectionPhase::kIdle);
+    budget_.SetBytes(tracked, 0);
+    // Bytes of the next request have been read already.
+    if (const std::size_t ahead = evbuffer_get_length(tracked.input)) {
+      OnReceived(tracked, ahead);
+    }
   }
 
   // After this call the responder may outlive the server. A request that still
@@ -271,7 +407,10 @@
 
   static void OnWritten(evhttp_request* request, void* self) {
     auto* const server = static_cast<Impl*>(self);
-    server->calls_.erase(evhttp_request_get_connection(request));
+    evhttp_connection* const connection =
+        evhttp_request_get_connection(request);
+    server->calls_.erase(connection);
+    server->EndSending(connection);
   }
 
   static void OnRequest(evhttp_request* request, void* self) {
@@ -284,6 +423,9 @@
     call->connection = evhttp_request_get_connection(request);
     call->server = this;
     calls_[call->connection] = call;
+    BeginHandling(
+        call->connection, *evhttp_request_get_input_headers(request),
+        evbuffer_get_length(evhttp_request_get_input_buffer(request)));
     DetectPeerClose(evhttp_connection_get_bufferevent(call->connection));
     Responder responder(std::move(call));
     std::string path = DecodedPath(request);
@@ -364,15 +506,18 @@
   }
 
   ServerOptions options_;
+  ConnectionBudget budget_;
+  ServerCounters counters_;
   evconnlistener* listener_;
   evhttp* http_;
   evhttp_bound_socket* bound_socket_ = nullptr;
   event* register_event_ = nullptr;
+  event* limit_event_ = nullptr;
   std::uint16_t port_ = 0;
   bool close_after_answers_ = false;
   std::map<std::string, Methods> handlers_;
   std::vector<bufferevent*> accepted_;
-  std::set<evhttp_connection*> connections_;
+  std::unordered_map<evhttp_connection*, std::unique_ptr<Tracked>> connections_;
   // Only one request at a time is handled on each connection.
   std::unordered_map<evhttp_connection*, std::shared_ptr<Responder::Call>>
       calls_;
@@ -435,4 +580,12 @@
   return impl_->open_calls();
 }
 
+const ServerCounters& Server::counters() const {
+  return impl_->counters();
+}
+
+std::size_t Server::buffered_bytes() const {
+  return impl_->buffered_bytes();
+}
+
 }  // namespace jaypick::http
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "http/connection_limits.h"
 #include "http/http.h"
 #include "jaypick/instance.h"
 #include "jaypick/time.h"
@@ -27,8 +28,27 @@
   std::size_t header_limit_bytes = std::size_t{16} * 1024;
   // Connections without traffic for this time are closed.
   Duration idle_timeout = std::chrono::seconds(120);
-  // Connections beyond this number get a 503 response and are closed.
-  std::size_t connection_limit = 1024;
+  // At a limit, connections are closed; see `ConnectionBudget`. A new one gets
+  // a 503 response and is closed if the requests of all others are being
+  // handled.
+  ConnectionLimits limits;
+  // Size of the sockets' receive buffers; 0 for that of the system.
+  int receive_buffer_bytes = 0;
+};
+
+// Connections closed at a limit.
+struct ServerCounters {
+  // To make room for a new connection.
+  std::uint64_t closed_for_newcomers = 0;
+  // Because the connections held too much memory.
+  std::uint64_t closed_for_memory = 0;
+  // New connections, as all others were in use.
+  std::uint64_t refused = 0;
+  // Responses that were replaced by a 503, as there was no memory for them.
+  std::uint64_t responses_replaced = 0;
+
+  friend bool operator==(const ServerCounters&,
+                         const ServerCounters&) = default;
 };
 
 // Sends the response to one request, exactly once. A responder that is
@@ -87,6 +107,10 @@
   // socket completely.
   std::size_t open_calls() const;
 
+  const ServerCounters& counters() const;
+  // Memory that counts towards the limit.
+  std::size_t buffered_bytes() const;
+
  private:
   friend class Responder;
   class Impl;
--- a/src/http/socket_options.cc
+++ b/src/http/socket_options.cc
@@ -32,6 +32,10 @@
             kPeerTimeoutSeconds * kMillisecondsPerSecond);
 }
 
+void SetReceiveBuffer(int socket, int bytes) {
+  SetOption(socket, SOL_SOCKET, SO_RCVBUF, bytes);
+}
+
 IdleSocketState PeekIdleSocket(int socket) {
   char byte = 0;
   const auto size = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/http/socket_options.h
+++ b/src/http/socket_options.h
@@ -14,6 +14,9 @@
 
 inline constexpr int kPeerTimeoutSeconds = 10;
 
+// Sets the size of the receive buffer, which accepted sockets inherit as well.
+void SetReceiveBuffer(int socket, int bytes);
+
 // State of the socket of an idle connection, checked before it is reused.
 enum class IdleSocketState { kReady, kClosedOrUnsolicitedData };
 
--- a/src/node/caller_server.cc
+++ b/src/node/caller_server.cc
@@ -18,7 +18,9 @@
 constexpr int kTooLarge = 413;
 constexpr int kUnavailable = 503;
 constexpr int kOk = 200;
-constexpr std::size_t kConnectionLimit = 3000;
+// A request has a few kilobytes. What a caller sends ahead stays in the kernel
+// up to this size, on each connection.
+constexpr int kReceiveBufferBytes = 32 * 1024;
 constexpr std::size_t kBodyLimitBytes = std::size_t{4} * 1024 * 1024;
 constexpr Duration kIdleTimeout = std::chrono::seconds(300);
 // Maximum number of domains that a job is submitted to.
@@ -79,7 +81,8 @@
               {.address = settings.callers,
                .body_limit_bytes = kBodyLimitBytes,
                .idle_timeout = kIdleTimeout,
-               .connection_limit = kConnectionLimit}) {
+               .limits = ShareLimits(settings.machine).callers,
+               .receive_buffer_bytes = kReceiveBufferBytes}) {
   for (const http::Method method :
        {http::Method::kGet, http::Method::kPost, http::Method::kDelete}) {
     server_.Handle(
--- a/src/node/caller_server.h
+++ b/src/node/caller_server.h
@@ -44,6 +44,7 @@
   void StopAccepting() { server_.StopAccepting(); }
   std::size_t open_calls() const { return server_.open_calls(); }
   std::uint16_t port() const { return server_.port(); }
+  const http::ServerCounters& counters() const { return server_.counters(); }
   std::size_t jobs() const { return jobs_.size(); }
 
  private:
--- a/src/node/metrics.cc
+++ b/src/node/metrics.cc
@@ -42,6 +42,11 @@
                    .Name("jaypick_node_running_tasks")
                    .Help("Tasks at work in a domain that is commanded here.")
                    .Register(registry_)),
+      closed_(BuildGauge()
+                  .Name("jaypick_node_limit_reached")
+                  .Help("How often a server reached a limit: connections "
+                        "closed or refused, and responses replaced.")
+                  .Register(registry_)),
       configuration_version_(BuildGauge()
                                  .Name("jaypick_node_configuration_version")
                                  .Help("Version in force.")
@@ -112,6 +117,18 @@
   }
 }
 
+void NodeMetrics::UpdateServer(const std::string& server,
+                               const http::ServerCounters& counters) {
+  const auto set = [&](const char* limit, std::uint64_t value) {
+    closed_.Add({{"server", server}, {"limit", limit}})
+        .Set(static_cast<double>(value));
+  };
+  set("connections", counters.closed_for_newcomers);
+  set("memory", counters.closed_for_memory);
+  set("all_in_use", counters.refused);
+  set("response_memory", counters.responses_replaced);
+}
+
 std::string NodeMetrics::Serialize() const {
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -15,6 +15,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include "http/server.h"
 #include "jaypick/time.h"
 #include "node/peer_messages.h"
 #include "node/store_view.h"
@@ -42,6 +43,10 @@
       const std::set<std::string>& evacuated,
       const std::map<std::string, std::size_t>& running_tasks);
 
+  // Updates the gauges of connections that a server has closed at a limit.
+  void UpdateServer(const std::string& server,
+                    const http::ServerCounters& counters);
+
   std::string Serialize() const;
 
  private:
@@ -57,6 +62,7 @@
   prometheus::Family<prometheus::Gauge>& cores_;
   prometheus::Family<prometheus::Gauge>& evacuated_;
   prometheus::Family<prometheus::Gauge>& running_;
+  prometheus::Family<prometheus::Gauge>& closed_;
   prometheus::Gauge& configuration_version_;
   prometheus::Gauge& store_connected_;
   prometheus::Gauge& upstreams_;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -89,8 +89,12 @@
                      peers_,
                      leadership_manager_,
                      metrics_),
-      readiness_(base, {.address = settings_.readiness}),
-      metrics_server_(base, {.address = settings_.metrics}),
+      readiness_(base,
+                 {.address = settings_.readiness,
+                  .limits = ShareLimits(settings_.machine).readiness}),
+      metrics_server_(base,
+                      {.address = settings_.metrics,
+                       .limits = ShareLimits(settings_.machine).metrics}),
       tick_(base, [this] { OnTick(); }) {
   // With port 0, the system has chosen the port.
   settings_.peer.port = peer_server_.port();
@@ -119,6 +123,10 @@
         metrics_.UpdateEvacuations(settings_.failure_domains,
                                    view_.evacuated_domains(),
                                    leadership_manager_.RunningTasks());
+        metrics_.UpdateServer("callers", caller_server_.counters());
+        metrics_.UpdateServer("peers", peer_server_.counters());
+        metrics_.UpdateServer("readiness", readiness_.counters());
+        metrics_.UpdateServer("metrics", metrics_server_.counters());
         responder.Send({.body = metrics_.Serialize(),
                         .content_type = "text/plain; version=0.0.4"});
       });
--- a/src/node/peer_server.cc
+++ b/src/node/peer_server.cc
@@ -13,7 +13,6 @@
 using daemon::LogLevel;
 
 constexpr int kBadRequest = 400;
-constexpr std::size_t kConnectionLimit = 3000;
 constexpr std::size_t kBodyLimitBytes = std::size_t{4} * 1024 * 1024;
 // Maximum number of losses of upstreams in one ping response; the next
 // responses hold the others.
@@ -53,7 +52,7 @@
       server_(runtime.base(),
               {.address = settings.peer,
                .body_limit_bytes = kBodyLimitBytes,
-               .connection_limit = kConnectionLimit}) {
+               .limits = ShareLimits(settings.machine).peers}) {
   server_.Handle(
       http::Method::kPost, kForwardedJobPath,
       [this](const http::Request& request, http::Responder responder) {
--- a/src/node/peer_server.h
+++ b/src/node/peer_server.h
@@ -36,6 +36,7 @@
 
   std::size_t open_calls() const { return forwarded_jobs_.size(); }
   std::uint16_t port() const { return server_.port(); }
+  const http::ServerCounters& counters() const { return server_.counters(); }
 
  private:
   struct Job {
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -139,6 +139,14 @@
   reader.Endpoint("/store", settings.store, true);
   settings.processor_share = reader.Number("/limits/processor_share", 0.001, 64)
                                  .value_or(settings.processor_share);
+  if (const auto megabytes =
+          reader.Number("/limits/memory_mb", 16, 1'048'576)) {
+    settings.machine.memory_bytes =
+        static_cast<std::size_t>(*megabytes * 1024 * 1024);
+  }
+  if (const auto number = reader.Number("/limits/descriptors", 64, 1'048'576)) {
+    settings.machine.descriptors = static_cast<std::size_t>(*number);
+  }
   reader.Milliseconds("/times/run_lease_ms", settings.run_lease);
   reader.Milliseconds("/times/upstream_notice_ms", settings.upstream_notice);
   reader.Seconds("/times/shutdown_limit_s", settings.shutdown_limit);
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -10,6 +10,7 @@
 #include "jaypick/instance.h"
 #include "jaypick/source_location.h"
 #include "jaypick/time.h"
+#include "node/server_limits.h"
 
 namespace jaypick::node {
 
@@ -34,6 +35,8 @@
   // Share of a processor that the instance may use. Instances with a larger
   // share are preferred as leaders.
   double processor_share = 1;
+  // Memory and descriptors of the process.
+  MachineLimits machine;
 
   // Longest lease of a run, on the upstream's clock.
   Duration run_lease = std::chrono::milliseconds(1000);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -133,18 +133,64 @@
 Test(http, refuses_connections_beyond_the_limit) {
   EventLoop loop;
   ServerOptions options = AnyPort();
-  options.connection_limit = 1;
-  Echo echo(loop, options);
-  RawClient first(loop, echo.server.port(), "");
-  loop.RunFor(50);
+  options.limits.connections = 1;
+  Server server(loop.base(), options);
+  std::vector<Responder> responders;
+  server.Handle(Method::kGet, "/", [&](Request, Responder responder) {
+    responders.push_back(std::move(responder));
+  });
+  RawClient first(loop, server.port(), "GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+  cr_assert(loop.RunUntil([&] { return responders.size() == 1; }));
   {
-    RawClient second(loop, echo.server.port(), "");
+    RawClient second(loop, server.port(), "");
     cr_assert(loop.RunUntil([&] { return second.is_closed(); }));
     cr_assert(second.received().starts_with("HTTP/1.1 503 "));
   }
-  first.Write("POST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\nx");
+  responders.front().Send({.body = "x"});
   cr_assert(loop.RunUntil(
       [&] { return first.received().starts_with("HTTP/1.1 200 "); }));
+  cr_assert(server.counters() == ServerCounters{.refused = 1});
+}
+
+// Guards against idle connections that keep new callers out.
+Test(http, new_connection_takes_the_place_of_the_oldest_idle_one) {
+  EventLoop loop;
+  ServerOptions options = AnyPort();
+  options.limits.connections = 2;
+  Echo echo(loop, options);
+  RawClient oldest(loop, echo.server.port(), "");
+  loop.RunFor(50);
+  RawClient begun(loop, echo.server.port(), "POST /echo HT");
+  loop.RunFor(50);
+  RawClient third(loop, echo.server.port(),
+                  "POST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\nx");
+  cr_assert(loop.RunUntil([&] {
+    return oldest.is_closed() && third.received().starts_with("HTTP/1.1 200 ");
+  }));
+  cr_assert(!begun.is_closed());
+  cr_assert(echo.server.counters() ==
+            ServerCounters{.closed_for_newcomers = 1});
+}
+
+// Guards against a response without memory, and against one of an ordinary size
+// that is held back.
+Test(http, large_response_without_memory_is_replaced) {
+  EventLoop loop;
+  ServerOptions options = AnyPort();
+  options.limits.buffered_bytes = 128 * 1024;
+  Server server(loop.base(), options);
+  server.Handle(Method::kGet, "/large", [](Request, Responder responder) {
+    responder.Send({.body = std::string(200 * 1024, 'x')});
+  });
+  server.Handle(Method::kGet, "/small", [](Request, Responder responder) {
+    responder.Send({.body = "x"});
+  });
+  Client client(loop.base(), {});
+  cr_assert_eq(Status(Exchange(loop, client, server.port(), Get("/large"))),
+               503);
+  cr_assert_eq(Status(Exchange(loop, client, server.port(), Get("/small"))),
+               200);
+  cr_assert_eq(server.buffered_bytes(), 0);
 }
 
 // Guards against a request that gets no response because its handler dropped
