Place labelled tasks by the labels of the incarnation that responds

The fleet knew that another incarnation responded, and did not compare it with the listing. A task that requires a label now waits for the listing of the incarnation that responds. Service and capacity stay with the machine; tasks without a label are placed as before. scheduler/labels_are_those_of_the_incarnation_that_responds guards against it.

--- a/src/node/server_limits.cc
+++ b/src/node/server_limits.cc
@@ -1,5 +1,8 @@
 #include "node/server_limits.h"
 
+#include <sys/resource.h>
+#include <sys/sysinfo.h>
+
 #include <algorithm>
 
 namespace jaypick::node {
@@ -15,6 +18,26 @@
 
 }  // namespace
 
+MachineLimits DetectMachineLimits() {
+  MachineLimits limits;
+  struct sysinfo machine {};
+  if (::sysinfo(&machine) == 0) {
+    limits.memory_bytes =
+        static_cast<std::size_t>(machine.totalram) * machine.mem_unit;
+  }
+  rlimit descriptors{};
+  if (::getrlimit(RLIMIT_NOFILE, &descriptors) == 0 &&
+      descriptors.rlim_cur != RLIM_INFINITY) {
+    limits.descriptors = descriptors.rlim_cur;
+  }
+  return limits;
+}
+
+MachineLimits LowerOf(const MachineLimits& a, const MachineLimits& b) {
+  return {.memory_bytes = std::min(a.memory_bytes, b.memory_bytes),
+          .descriptors = std::min(a.descriptors, b.descriptors)};
+}
+
 ServerLimits ShareLimits(const MachineLimits& machine) {
   const std::size_t usable =
       machine.descriptors -
--- a/src/node/server_limits.h
+++ b/src/node/server_limits.h
@@ -16,6 +16,13 @@
   friend bool operator==(const MachineLimits&, const MachineLimits&) = default;
 };
 
+// What the machine and the system leave to this process: the machine's memory,
+// and the limit of open descriptors.
+MachineLimits DetectMachineLimits();
+
+// The lower of both for each resource.
+MachineLimits LowerOf(const MachineLimits& a, const MachineLimits& b);
+
 struct ServerLimits {
   http::ConnectionLimits callers;
   http::ConnectionLimits peers;
--- a/src/schedule/fleet.cc
+++ b/src/schedule/fleet.cc
@@ -177,6 +177,11 @@
          now >= state.ejected_until;
 }
 
+bool Fleet::IsListingCurrent(const State& state) {
+  return !state.responded_unix_ms ||
+         *state.responded_unix_ms == state.upstream.started_unix_ms;
+}
+
 bool Fleet::Accepts(std::uint32_t number,
                     const PlacementQuery& query,
                     TimePoint now) const {
@@ -192,7 +197,8 @@
     return false;
   }
   if (!query.required_label.empty() &&
-      !Contains(upstream.labels, query.required_label)) {
+      (!IsListingCurrent(state) ||
+       !Contains(upstream.labels, query.required_label))) {
     return false;
   }
   if (state.slow_start_limit && state.running >= *state.slow_start_limit) {
--- a/src/schedule/fleet.h
+++ b/src/schedule/fleet.h
@@ -189,6 +189,10 @@
   };
 
   bool IsUsable(const State& state, TimePoint now) const;
+  // False if the upstream has restarted and its listing is that of an earlier
+  // incarnation, which may have had other labels. Its place and its capacity
+  // are those of its machine and stay.
+  static bool IsListingCurrent(const State& state);
   bool IsSlow(const State& state) const;
   bool Accepts(std::uint32_t number,
                const PlacementQuery& query,
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -542,6 +542,38 @@
   cr_assert_eq(rig.CountRefused("a"), 1);
 }
 
+// Guards against a task on an upstream without the label that it requires: the
+// upstream has restarted as another kind, and the list shows its former one.
+Test(scheduler, labels_are_those_of_the_incarnation_that_responds) {
+  SchedulerRig rig;
+  const auto number = rig.AddUpstream("u1", 16000);
+  Fleet& fleet = rig.scheduler().fleet();
+  Upstream upstream = fleet.upstream(number);
+  upstream.labels = {"b"};
+  fleet.Update(upstream);
+  const auto submit = [&](const std::string& id, const std::string& label) {
+    rig.Submit({.id = id,
+                .kind = Kind(),
+                .payload = "p",
+                .steps = {{.tasks = 1,
+                           .needs = {.milli_cpus = 1000},
+                           .declared_run_time = milliseconds(100),
+                           .required_label = label}}},
+               std::chrono::seconds(3));
+    return rig.starts.size();
+  };
+  rig.scheduler().OnUpstreamResponse({.id = "u1", .started_unix_ms = 1});
+  cr_assert_eq(submit("before", "b"), 1);
+  rig.scheduler().OnUpstreamResponse({.id = "u1", .started_unix_ms = 7});
+  cr_assert_eq(submit("restarted", "b"), 1);
+  // Any incarnation may run a task that requires no label.
+  cr_assert_eq(submit("unlabelled", ""), 2);
+  upstream.started_unix_ms = 7;
+  fleet.Update(upstream);
+  rig.RunFor(milliseconds(10));
+  cr_assert_eq(rig.starts.size(), 3);
+}
+
 // Guards against queueing jobs that no upstream could ever run.
 Test(scheduler, job_that_no_upstream_can_run_is_refused_at_once) {
   SchedulerRig rig;
