--- a/review/stand-2/stand.cc
+++ b/review/stand-2/stand.cc
@@ -1,6 +1,10 @@
 #include "review/stand-2/stand.h"
 
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/listener.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
@@ -87,7 +91,10 @@
   Replace(text, "{{#zones}}\"{{@}}\"{{,}}{{/zones}}", zones);
   Replace(text, "{{listen_addrs.front}}", Endpoint(callers_.value()));
   Replace(text, "{{listen_addrs.ready}}", Endpoint(readiness_.value()));
-  Replace(text, "{{ip}}:{{port_range.0}}", Endpoint(peer_.value()));
+  if (options_.peer == nullptr) {
+    options_.peer = std::make_shared<standin::PortHolder>();
+  }
+  Replace(text, "{{ip}}:{{port_range.0}}", Endpoint(options_.peer->value()));
   Replace(text, "{{ip}}:{{port_range.1}}", Endpoint(metrics_.value()));
   Replace(text, "{{platform.address}}", Endpoint(options_.store_port));
   Replace(text, "{{limits.cpu_share|json}}", "0.25");
@@ -101,6 +108,9 @@
   Json settings = Json::parse(text);
   settings["limits"]["memory_mb"] = options_.memory_mb;
   settings["limits"]["descriptors"] = 4100;
+  if (options_.advertised_peer != 0) {
+    settings["listen"]["advertised_peer"] = Endpoint(options_.advertised_peer);
+  }
   std::ofstream(settings_path_) << settings.dump(2) << '\n';
 }
 
@@ -254,6 +264,111 @@
   return code;
 }
 
+// One relayed connection. An end that has closed is null.
+struct PeerRelay::Link {
+  PeerRelay::Impl* relay = nullptr;
+  bufferevent* ends[2] = {nullptr, nullptr};
+  bool is_silent = false;
+};
+
+class PeerRelay::Impl {
+ public:
+  Impl(PeerRelay& relay, event_base* base, std::uint16_t target_port)
+      : relay_(relay), base_(base), target_port_(target_port) {
+    const sockaddr_in address = AddressOf(relay.port());
+    listener_ = evconnlistener_new_bind(
+        base, &Impl::OnAccept, this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE,
+        64, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    if (listener_ == nullptr) {
+      throw std::runtime_error("a relay cannot listen");
+    }
+  }
+
+  ~Impl() {
+    evconnlistener_free(listener_);
+    for (const auto& link : links_) {
+      Close(*link, 0);
+      Close(*link, 1);
+    }
+  }
+
+ private:
+  static sockaddr_in AddressOf(std::uint16_t port) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+  }
+
+  static void Close(Link& link, int end) {
+    if (link.ends[end] != nullptr) {
+      bufferevent_free(link.ends[end]);
+      link.ends[end] = nullptr;
+    }
+  }
+
+  static void OnAccept(evconnlistener* /*listener*/,
+                       evutil_socket_t socket,
+                       sockaddr* /*address*/,
+                       int /*size*/,
+                       void* self) {
+    auto* const relay = static_cast<Impl*>(self);
+    auto link = std::make_unique<Link>();
+    link->relay = relay;
+    link->ends[0] =
+        bufferevent_socket_new(relay->base_, socket, BEV_OPT_CLOSE_ON_FREE);
+    link->ends[1] =
+        bufferevent_socket_new(relay->base_, -1, BEV_OPT_CLOSE_ON_FREE);
+    for (bufferevent* const end : link->ends) {
+      bufferevent_setcb(end, &Impl::OnRead, nullptr, &Impl::OnEvent,
+                        link.get());
+      bufferevent_enable(end, EV_READ | EV_WRITE);
+    }
+    const sockaddr_in target = AddressOf(relay->target_port_);
+    bufferevent_socket_connect(link->ends[1],
+                               reinterpret_cast<const sockaddr*>(&target),
+                               sizeof(target));
+    relay->links_.push_back(std::move(link));
+  }
+
+  static void OnRead(bufferevent* from, void* context) {
+    Link& link = *static_cast<Link*>(context);
+    bufferevent* const to = from == link.ends[0] ? link.ends[1] : link.ends[0];
+    evbuffer* const input = bufferevent_get_input(from);
+    if (to == nullptr || link.is_silent) {
+      evbuffer_drain(input, evbuffer_get_length(input));
+      return;
+    }
+    bufferevent_write_buffer(to, input);
+  }
+
+  static void OnEvent(bufferevent* end, short what, void* context) {
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
+      return;
+    }
+    Link& link = *static_cast<Link*>(context);
+    const int number = end == link.ends[0] ? 0 : 1;
+    Close(link, number);
+    if (number == 0 && link.relay->relay_.holds_closed_) {
+      link.is_silent = true;
+    } else {
+      Close(link, 1 - number);
+    }
+  }
+
+  PeerRelay& relay_;
+  event_base* base_;
+  std::uint16_t target_port_;
+  evconnlistener* listener_ = nullptr;
+  std::vector<std::unique_ptr<Link>> links_;
+};
+
+PeerRelay::PeerRelay(event_base* base, std::uint16_t target_port)
+    : impl_(std::make_unique<Impl>(*this, base, target_port)) {}
+
+PeerRelay::~PeerRelay() = default;
+
 Folder::Folder() {
   std::string pattern =
       std::filesystem::temp_directory_path().string() + "/jaypick-XXXXXX";
--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -54,6 +54,10 @@
     std::string zone;
     std::vector<std::string> zones;
     std::uint16_t store_port = 0;
+    // The relay through which the others reach the process; 0 for none.
+    std::uint16_t advertised_peer = 0;
+    // Reserves the peer port if a relay needs it before; may be null.
+    std::shared_ptr<standin::PortHolder> peer;
     int memory_mb = 260;
   };
 
@@ -75,7 +79,6 @@
   const Options& options() const { return options_; }
   std::uint16_t callers_port() const { return callers_.value(); }
   std::uint16_t readiness_port() const { return readiness_.value(); }
-  std::uint16_t peer_port() const { return peer_.value(); }
   const std::string& log_path() const { return log_path_; }
 
  private:
@@ -83,7 +86,6 @@
   Options options_;
   standin::PortHolder callers_;
   standin::PortHolder readiness_;
-  standin::PortHolder peer_;
   standin::PortHolder metrics_;
   std::string settings_path_;
   std::string log_path_;
@@ -116,6 +118,28 @@
                          const Json& body,
                          int timeout_ms);
 
+// Relays connections to a peer port on loopback. While it holds closed
+// connections, the end of a connection at the target stays open and silent when
+// the other end closes, as if the other machine had lost its power.
+class PeerRelay {
+ public:
+  PeerRelay(event_base* base, std::uint16_t target_port);
+  ~PeerRelay();
+  PeerRelay(const PeerRelay&) = delete;
+  PeerRelay& operator=(const PeerRelay&) = delete;
+
+  std::uint16_t port() const { return port_.value(); }
+  void HoldClosed(bool holds) { holds_closed_ = holds; }
+
+ private:
+  struct Link;
+  class Impl;
+
+  standin::PortHolder port_;
+  bool holds_closed_ = false;
+  std::unique_ptr<Impl> impl_;
+};
+
 // Creates a folder in the temporary folder of the system; removed at the end.
 class Folder {
  public:
--- a/review/stand-2/upstream.cc
+++ b/review/stand-2/upstream.cc
@@ -17,6 +17,9 @@
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
 constexpr int kOtherInstance = 421;
+// `applied_late`: how much later an order is carried out.
+constexpr int kLeastLateMs = 2000;
+constexpr int kMostLateMs = 12000;
 
 std::int64_t UnixMilliseconds() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -37,6 +40,7 @@
       port_(std::make_unique<standin::PortHolder>()),
       born_(UnixMilliseconds()),
       started_(runtime.Now()),
+      random_(static_cast<unsigned>(std::hash<std::string>()(options_.id))),
       timer_(runtime.base(), [this] { Tick(); }) {
   Listen();
   Register("ready");
@@ -63,12 +67,24 @@
                       handler(json::parse(request.body), std::move(responder));
                     });
   };
-  serve("/api/run-start", [this](const json& body, http::Responder responder) {
-    responder.Send(OnStart(body));
-  });
-  serve("/api/run-stop", [this](const json& body, http::Responder responder) {
-    responder.Send(OnStop(body));
-  });
+  const auto serve_order = [this, serve](const char* path, auto handler) {
+    serve(path, [this, handler](const json& body, http::Responder responder) {
+      if (std::uniform_real_distribution<double>(0, 1)(random_) < late_share_) {
+        unanswered_.push_back(std::move(responder));
+        late_orders_.emplace(
+            runtime_.Now() +
+                std::chrono::milliseconds(std::uniform_int_distribution<int>(
+                    kLeastLateMs, kMostLateMs)(random_)),
+            [handler, body] { handler(body); });
+        return;
+      }
+      responder.Send(handler(body));
+    });
+  };
+  serve_order("/api/run-start",
+              [this](const json& body) { return OnStart(body); });
+  serve_order("/api/run-stop",
+              [this](const json& body) { return OnStop(body); });
   serve("/api/hold", [this](const json& body, http::Responder responder) {
     OnHold(body, std::move(responder));
   });
@@ -100,6 +116,8 @@
   // The server first, so that the polls get no answer.
   server_.reset();
   polls_.clear();
+  unanswered_.clear();
+  late_orders_.clear();
   for (const auto& [task, run] : runs_) {
     listener_.on_end(task, run.number, "crashed");
   }
@@ -242,6 +260,11 @@
     return;
   }
   const TimePoint now = runtime_.Now();
+  while (!late_orders_.empty() && late_orders_.begin()->first <= now) {
+    const auto order = std::move(late_orders_.begin()->second);
+    late_orders_.erase(late_orders_.begin());
+    order();
+  }
   std::vector<std::pair<std::string, std::string>> over;
   for (const auto& [task, run] : runs_) {
     if (now >= lease_end_) {
--- a/review/stand-2/upstream.h
+++ b/review/stand-2/upstream.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -54,6 +55,9 @@
   // one, and registers itself.
   void Restart(std::vector<std::string> labels);
   void Register(const std::string& state);
+  // A share of the starts and stops that arrive gets no answer and is carried
+  // out 2 to 12 s later.
+  void SetLateShare(double share) { late_share_ = share; }
   // The store removes the entry, as after three heartbeat intervals of silence.
   void Expire();
 
@@ -106,6 +110,10 @@
   std::uint64_t last_end_ = 0;
   std::uint64_t sequence_ = 0;
   std::list<Poll> polls_;
+  double late_share_ = 0;
+  std::mt19937 random_;
+  std::multimap<TimePoint, std::function<void()>> late_orders_;
+  std::vector<http::Responder> unanswered_;
   node::Timer timer_;
 };
 
