Review case 6: stay inside the site's share of hopeless jobs

Cause: the case handed in up to 9 large jobs beside 90 ordinary ones, more than the poison share of 0.05 of the site file, and the executors of the stand-in sent no heartbeats.

One large job now comes every 5 s beside 20 ordinary ones a second, and executors write their entries every 1.5 s.

--- a/review/stand-2/job_size.cc
+++ b/review/stand-2/job_size.cc
@@ -1,9 +1,10 @@
 // A client that the operators do not control sends jobs with very many tasks.
 //
-// Three zones with a machine and two executors each. Every four seconds, one
+// Three zones with a machine and two executors each. Every five seconds, one
 // such job is handed in at some machine, and handed in again as the protocol
 // says. The platform kills a process that exceeds the memory of its machine and
-// starts it again. An ordinary client hands in small jobs all the while.
+// starts it again. Ordinary clients hand in 20 small jobs a second all the
+// while.
 #include <signal.h>
 
 #include <iomanip>
@@ -21,8 +22,8 @@
 constexpr int kResendMs = 1300;
 constexpr int kRestartMs = 500;
 constexpr int kLengthMs = 45000;
-constexpr int kLargeIntervalMs = 4000;
-constexpr int kOrdinaryIntervalMs = 500;
+constexpr int kLargeIntervalMs = 5000;
+constexpr int kOrdinaryIntervalMs = 50;
 constexpr int kMostSends = 4;
 // Fault: processes of this many machines end by themselves this many times.
 constexpr int kMachinesForFault = 2;
--- a/review/stand-2/upstream.cc
+++ b/review/stand-2/upstream.cc
@@ -11,6 +11,8 @@
 using nlohmann::json;
 
 constexpr Duration kTick = std::chrono::milliseconds(2);
+// `heartbeat_ms` of the small deployments.
+constexpr Duration kHeartbeat = std::chrono::milliseconds(1500);
 // `hold_max_ms` of the small deployments.
 constexpr Duration kLongestLease = std::chrono::milliseconds(1000);
 constexpr std::size_t kMostEnds = 500;
@@ -91,6 +93,8 @@
 }
 
 void Upstream::Register(const std::string& state) {
+  state_ = state;
+  registered_ = runtime_.Now();
   store_.Put(
       "servers/" + options_.id,
       json{{"service", "desk"},
@@ -260,6 +264,9 @@
     return;
   }
   const TimePoint now = runtime_.Now();
+  if (now - registered_ >= kHeartbeat) {
+    Register(state_);
+  }
   while (!late_orders_.empty() && late_orders_.begin()->first <= now) {
     const auto order = std::move(late_orders_.begin()->second);
     late_orders_.erase(late_orders_.begin());
--- a/review/stand-2/upstream.h
+++ b/review/stand-2/upstream.h
@@ -109,6 +109,8 @@
   std::vector<End> ends_;
   std::uint64_t last_end_ = 0;
   std::uint64_t sequence_ = 0;
+  std::string state_ = "ready";
+  TimePoint registered_;
   std::list<Poll> polls_;
   double late_share_ = 0;
   std::mt19937 random_;
