Review case 7: state the limits of both disruptions

Cause: orders were late for slightly over the 5.5 s of the site file, and the claim did not compare the share with the dose of the site file.

--- a/review/stand-2/late_stops.cc
+++ b/review/stand-2/late_stops.cc
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr int kRounds = 8;
+// No round begins later than this.
+constexpr int kLastRoundMs = 90000;
 constexpr int kUpstreamsPerZone = 32;
 constexpr int kJobs = 64;
 constexpr int kTasks = 4;
@@ -24,7 +26,7 @@
 constexpr int kTimeoutMs = 9000;
 constexpr int kDarkMs = 300;
 constexpr int kResendMs = 1300;
-constexpr int kLateMs = 5500;
+constexpr int kLateMs = 5400;
 constexpr double kLateShare = 0.5;
 
 std::string Id(std::uint64_t number) {
@@ -79,7 +81,8 @@
       platform_.RunFor(1500);
     }
     platform_.RunFor(3000);
-    for (int round = 0; round < kRounds; ++round) {
+    for (int round = 0;
+         round < kRounds && record_.Milliseconds() < kLastRoundMs; ++round) {
       Round();
       platform_.RunFor(2500);
     }
@@ -134,6 +137,7 @@
     for (const auto& upstream : upstreams_) {
       upstream->SetLateShare(0);
     }
+    record_.Line("orders are carried out in time from here on");
     platform_.WaitUntil([&] { return open_ == 0; }, kTimeoutMs);
   }
 
