Reserve memory for jobs and runs before they are built

Cause: Scheduler::Submit built a Task for each of the ten million tasks before anything looked at the job's size. The decoder bounds steps and tasks, not their product, and the port for peers takes the job without the decoder. Nothing bounded all jobs together but load shedding, nor runs on an upstream without a limit of slots.

Change: jobs and runs reserve memory from budgets that are parts of the machine's memory, by an upper bound that is computed from the specification. What can never fit is refused by the instance that gets it (too_large), what finds no room with Retry-After (no_memory); tasks wait for room for their runs. Held submissions and resubmissions count.

--- a/src/node/caller_server.cc
+++ b/src/node/caller_server.cc
@@ -6,6 +6,7 @@
 #include "control/leader_wait.h"
 #include "control/run_bounds.h"
 #include "daemon/log.h"
+#include "schedule/job_memory.h"
 
 namespace jaypick::node {
 namespace {
@@ -147,14 +148,10 @@
   // its caller's timeout.
   const bool has_just_resumed = runtime_.HasJustResumed();
   if (has_just_resumed || (refuse_from_ && now >= *refuse_from_)) {
-    const schedule::JobOutcome refusal = schedule::Refused{
-        .reason = has_just_resumed ? RefusalReason::kOverloaded
-                                   : RefusalReason::kNoUpstream,
-        .retry_after = kRetryAfter};
-    const bool may_have_run =
-        jobs_.contains(id) || active_jobs_.Contains(now, id);
-    responder.Send(
-        codec_.EncodeOutcome(may_have_run ? WithoutRefusal(refusal) : refusal));
+    RefuseOnArrival(submission.spec,
+                    has_just_resumed ? RefusalReason::kOverloaded
+                                     : RefusalReason::kNoUpstream,
+                    std::move(responder));
     return;
   }
   const auto known = jobs_.find(id);
@@ -167,8 +164,21 @@
     AddWaiter(known->second, id, std::move(responder));
     return;
   }
+  schedule::MemoryBudget& budget = leadership_manager_.job_memory();
+  if (!budget.CanEverReserve(schedule::JobBytes(submission.spec))) {
+    RefuseOnArrival(submission.spec, RefusalReason::kTooLarge,
+                    std::move(responder));
+    return;
+  }
+  auto memory = budget.Reserve(schedule::SpecBytes(submission.spec));
+  if (!memory) {
+    RefuseOnArrival(submission.spec, RefusalReason::kNoMemory,
+                    std::move(responder));
+    return;
+  }
   Job& job = jobs_[id];
   job.spec = std::move(submission.spec);
+  job.memory = *std::move(memory);
   job.spec.entry_domain = settings_.failure_domain;
   job.arrival = now;
   job.deadline = std::min(now + submission.timeout, answer_by_);
@@ -178,6 +188,25 @@
   Dispatch(id);
 }
 
+void CallerServer::RefuseOnArrival(const schedule::JobSpec& spec,
+                                   RefusalReason reason,
+                                   http::Responder responder) {
+  const schedule::JobOutcome refusal =
+      schedule::Refused{.reason = reason, .retry_after = kRetryAfter};
+  const bool may_have_run =
+      jobs_.contains(spec.id) || active_jobs_.Contains(runtime_.Now(), spec.id);
+  const schedule::JobOutcome outcome =
+      may_have_run ? WithoutRefusal(refusal) : refusal;
+  LogEvent(LogLevel::kInfo, "job_refused_on_arrival",
+           {{"id", spec.id},
+            {"outcome", schedule::Describe(outcome)},
+            {"job_bytes", std::to_string(schedule::JobBytes(spec))},
+            {"reserved_bytes",
+             std::to_string(leadership_manager_.job_memory().used())}});
+  metrics_.OnJob(spec.kind.name, outcome, Duration(0));
+  responder.Send(codec_.EncodeOutcome(outcome));
+}
+
 void CallerServer::AddWaiter(Job& job,
                              const std::string& id,
                              http::Responder responder) {
@@ -719,6 +748,7 @@
       job.may_have_run || (refused != nullptr && refused->may_have_run);
   const bool may_retry = refused != nullptr &&
                          refused->reason != RefusalReason::kTooLong &&
+                         refused->reason != RefusalReason::kTooLarge &&
                          (refused->reason == RefusalReason::kEvacuated ||
                           job.tried_domains.size() + 1 < kMaxDomainsPerJob) &&
                          runtime_.Now() < job.deadline;
--- a/src/node/caller_server.h
+++ b/src/node/caller_server.h
@@ -55,6 +55,7 @@
 
   struct Job {
     schedule::JobSpec spec;
+    schedule::MemoryBudget::Reservation memory;
     TimePoint arrival;
     TimePoint deadline;
     std::vector<Waiter> waiters;
@@ -92,6 +93,10 @@
 
   void OnRequest(const http::Request& request, http::Responder responder);
   void OnSubmission(JobSubmission submission, http::Responder responder);
+  // Refuses a submission that is not kept.
+  void RefuseOnArrival(const schedule::JobSpec& spec,
+                       schedule::RefusalReason reason,
+                       http::Responder responder);
   void AddWaiter(Job& job, const std::string& id, http::Responder responder);
   void OnClosed(const std::string& id, std::uint64_t waiter);
   void Dispatch(const std::string& id);
--- a/src/node/domain_leader.cc
+++ b/src/node/domain_leader.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "daemon/log.h"
+#include "schedule/job_memory.h"
 
 namespace jaypick::node {
 namespace {
@@ -165,14 +166,24 @@
     return number;
   }
   if (is_holding_jobs_ && !scheduler_.HasJob(submission.spec.id)) {
-    held_submissions_.push_back(
-        {.submission = std::move(submission), .waiter = std::move(waiter)});
+    Hold({.submission = std::move(submission), .waiter = std::move(waiter)});
     return number;
   }
   Accept(std::move(submission), std::move(waiter));
   return number;
 }
 
+void DomainLeader::Hold(HeldSubmission held) {
+  auto memory = scheduler_.job_memory().Reserve(
+      schedule::SpecBytes(held.submission.spec));
+  if (!memory) {
+    Refuse(held, schedule::RefusalReason::kNoMemory);
+    return;
+  }
+  held.memory = *std::move(memory);
+  held_submissions_.push_back(std::move(held));
+}
+
 void DomainLeader::Accept(Submission submission, Waiter waiter) {
   const TimePoint now = runtime_.Now();
   const std::string id = submission.spec.id;
--- a/src/node/domain_leader.h
+++ b/src/node/domain_leader.h
@@ -162,8 +162,10 @@
   struct HeldSubmission {
     Submission submission;
     Waiter waiter;
+    schedule::MemoryBudget::Reservation memory;
   };
 
+  void Hold(HeldSubmission held);
   void Accept(Submission submission, Waiter waiter);
   void Refuse(const HeldSubmission& held, schedule::RefusalReason reason);
   void RefuseHeldSubmissions();
--- a/src/node/leadership_manager.cc
+++ b/src/node/leadership_manager.cc
@@ -77,6 +77,10 @@
       upstream_client_(upstream_client),
       started_(runtime.Now()),
       crash_history_(new schedule::CrashHistory),
+      job_memory_(new schedule::MemoryBudget(
+          {.bytes = ShareJobMemory(settings.machine).job_bytes})),
+      run_memory_(new schedule::MemoryBudget(
+          {.bytes = ShareJobMemory(settings.machine).run_bytes})),
       timer_(runtime.base(), [this] { Tick(); }),
       lost_timer_(runtime.base(), [this] { RetireLostLeaders(); }),
       is_alive_(std::make_shared<bool>(true)) {}
@@ -334,6 +338,8 @@
              {{"invariant", std::string(invariant)}, {"job", detail}});
   };
   options.scheduler.crash_history = crash_history_;
+  options.scheduler.job_memory = job_memory_;
+  options.scheduler.run_memory = run_memory_;
   options.on_lost = [this] { lost_timer_.After(Duration(0)); };
   HeldDomain& held_domain = held_domains_[failure_domain];
   held_domain.domain_leader = std::make_unique<DomainLeader>(
--- a/src/node/leadership_manager.h
+++ b/src/node/leadership_manager.h
@@ -20,6 +20,7 @@
 #include "node/store_view.h"
 #include "node/upstream_client.h"
 #include "schedule/crash_history.h"
+#include "schedule/memory_budget.h"
 
 namespace jaypick::node {
 
@@ -101,6 +102,9 @@
   const schedule::CrashHistory& crash_history() const {
     return *crash_history_;
   }
+  // Memory for all jobs of the instance, and for the runs of its leaderships.
+  schedule::MemoryBudget& job_memory() const { return *job_memory_; }
+  const schedule::MemoryBudget& run_memory() const { return *run_memory_; }
   // By instance name. Every node pings the leaders of its domains, so a leader
   // learns of all nodes that use them.
   const std::map<std::string, Peer>& known_peers() const {
@@ -286,6 +290,8 @@
   bool is_draining_ = false;
   TimePoint started_;
   schedule::CrashHistoryPointer crash_history_;
+  schedule::MemoryBudgetPointer job_memory_;
+  schedule::MemoryBudgetPointer run_memory_;
   Timer timer_;
   // A domain leader detects its loss deep inside other calls, so the clean-up
   // is deferred to the event loop.
--- a/src/node/metrics.cc
+++ b/src/node/metrics.cc
@@ -47,6 +47,16 @@
                   .Help("How often a server reached a limit: connections "
                         "closed or refused, and responses replaced.")
                   .Register(registry_)),
+      memory_used_(BuildGauge()
+                       .Name("jaypick_node_memory_reserved_bytes")
+                       .Help("Memory reserved for jobs, and for runs of their "
+                             "tasks.")
+                       .Register(registry_)),
+      memory_limit_(BuildGauge()
+                        .Name("jaypick_node_memory_limit_bytes")
+                        .Help("Limit of the memory reserved for jobs, and for "
+                              "runs of their tasks.")
+                        .Register(registry_)),
       configuration_version_(BuildGauge()
                                  .Name("jaypick_node_configuration_version")
                                  .Help("Version in force.")
@@ -117,6 +127,12 @@
   }
 }
 
+void NodeMetrics::UpdateMemory(const std::string& kind,
+                               const schedule::MemoryBudget& budget) {
+  memory_used_.Add({{"for", kind}}).Set(static_cast<double>(budget.used()));
+  memory_limit_.Add({{"for", kind}}).Set(static_cast<double>(budget.limit()));
+}
+
 void NodeMetrics::UpdateServer(const std::string& server,
                                const http::ServerCounters& counters) {
   const auto set = [&](const char* limit, std::uint64_t value) {
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -19,6 +19,7 @@
 #include "jaypick/time.h"
 #include "node/peer_messages.h"
 #include "node/store_view.h"
+#include "schedule/memory_budget.h"
 #include "schedule/messages.h"
 
 namespace jaypick::node {
@@ -43,6 +44,10 @@
       const std::set<std::string>& evacuated,
       const std::map<std::string, std::size_t>& running_tasks);
 
+  // Updates the gauges of the memory that jobs take; `kind` says for what.
+  void UpdateMemory(const std::string& kind,
+                    const schedule::MemoryBudget& budget);
+
   // Updates the gauges of connections that a server has closed at a limit.
   void UpdateServer(const std::string& server,
                     const http::ServerCounters& counters);
@@ -63,6 +68,8 @@
   prometheus::Family<prometheus::Gauge>& evacuated_;
   prometheus::Family<prometheus::Gauge>& running_;
   prometheus::Family<prometheus::Gauge>& closed_;
+  prometheus::Family<prometheus::Gauge>& memory_used_;
+  prometheus::Family<prometheus::Gauge>& memory_limit_;
   prometheus::Gauge& configuration_version_;
   prometheus::Gauge& store_connected_;
   prometheus::Gauge& upstreams_;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -123,6 +123,8 @@
         metrics_.UpdateEvacuations(settings_.failure_domains,
                                    view_.evacuated_domains(),
                                    leadership_manager_.RunningTasks());
+        metrics_.UpdateMemory("jobs", leadership_manager_.job_memory());
+        metrics_.UpdateMemory("runs", leadership_manager_.run_memory());
         metrics_.UpdateServer("callers", caller_server_.counters());
         metrics_.UpdateServer("peers", peer_server_.counters());
         metrics_.UpdateServer("readiness", readiness_.counters());
--- a/src/node/server_limits.cc
+++ b/src/node/server_limits.cc
@@ -52,4 +52,9 @@
           .metrics = kSmallServer};
 }
 
+JobMemoryLimits ShareJobMemory(const MachineLimits& machine) {
+  return {.job_bytes = machine.memory_bytes / 4,
+          .run_bytes = machine.memory_bytes / 8};
+}
+
 }  // namespace jaypick::node
--- a/src/node/server_limits.h
+++ b/src/node/server_limits.h
@@ -34,6 +34,14 @@
 // jobs, and for the connections that the node opens itself.
 ServerLimits ShareLimits(const MachineLimits& machine);
 
+// Memory for jobs that are known to the process, and for runs of their tasks.
+struct JobMemoryLimits {
+  std::size_t job_bytes = 0;
+  std::size_t run_bytes = 0;
+};
+
+JobMemoryLimits ShareJobMemory(const MachineLimits& machine);
+
 }  // namespace jaypick::node
 
 #endif  // JAYPICK_NODE_SERVER_LIMITS_H_
--- a/src/schedule/job.h
+++ b/src/schedule/job.h
@@ -13,6 +13,7 @@
 
 #include "jaypick/time.h"
 #include "schedule/job_spec.h"
+#include "schedule/memory_budget.h"
 #include "schedule/messages.h"
 #include "schedule/served_fraction_tracker.h"
 
@@ -68,6 +69,7 @@
                  boost::intrusive::link_mode<boost::intrusive::auto_unlink>>,
              boost::intrusive_ref_counter<Job, boost::thread_unsafe_counter> {
   JobSpec spec;
+  MemoryBudget::Reservation memory;
   TimePoint arrival;
   // The caller stops waiting for the answer at this time.
   TimePoint deadline;
--- a/src/schedule/messages.cc
+++ b/src/schedule/messages.cc
@@ -97,6 +97,10 @@
       return "command_lost";
     case RefusalReason::kEvacuated:
       return "evacuated";
+    case RefusalReason::kTooLarge:
+      return "too_large";
+    case RefusalReason::kNoMemory:
+      return "no_memory";
   }
   return "unknown";
 }
--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -102,6 +102,10 @@
   kCommandLost,
   // The operators have evacuated the upstreams' domain.
   kEvacuated,
+  // The job is too large for the memory of an instance.
+  kTooLarge,
+  // Other jobs hold the memory that the job needs.
+  kNoMemory,
 };
 
 std::string_view ToString(RefusalReason reason);
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "schedule/job_memory.h"
+
 namespace jaypick::schedule {
 namespace {
 
@@ -50,6 +52,12 @@
   if (!options_.crash_history) {
     options_.crash_history = CrashHistoryPointer(new CrashHistory);
   }
+  for (MemoryBudgetPointer* const budget :
+       {&options_.job_memory, &options_.run_memory}) {
+    if (!*budget) {
+      *budget = MemoryBudgetPointer(new MemoryBudget);
+    }
+  }
 }
 
 Scheduler::~Scheduler() {
@@ -197,10 +205,14 @@
         query.avoided_upstreams = &task.avoided_upstreams;
         query.is_retry = task.failures > 0;
         query.is_suspected = task.is_suspected;
+        auto memory = options_.run_memory->Reserve(RunBytes(job.spec));
+        if (!memory) {
+          break;
+        }
         const auto upstream = fleet_.Choose(query, now);
         if (upstream) {
           Start(now, job, static_cast<std::uint32_t>(step), index, *upstream,
-                actions);
+                *std::move(memory), actions);
           continue;
         }
         const bool is_unconstrained = spec.required_label.empty() &&
@@ -282,6 +294,7 @@
                       std::uint32_t step,
                       std::uint32_t index,
                       std::uint32_t upstream,
+                      MemoryBudget::Reservation memory,
                       Actions& actions) {
   Task& task = job.steps[step].tasks[index];
   CheckInvariant(task.state == TaskState::kWaiting,
@@ -315,7 +328,8 @@
                    .index = index,
                    .upstream = upstream,
                    .upstream_started_unix_ms = fleet_.incarnation(upstream),
-                   .is_isolating = task.is_suspected};
+                   .is_isolating = task.is_suspected,
+                   .memory = std::move(memory)};
   if (job.waiting == 0) {
     job.unlink();
   }
@@ -350,7 +364,7 @@
   if (it == running_.end()) {
     return;
   }
-  const Running running = it->second;
+  const Running running = std::move(it->second);
   running_.erase(it);
   Job& job = *running.job;
   StepState& step = job.steps[running.step];
@@ -493,7 +507,7 @@
   if (job.starts == 0) {
     EndJob(now, job,
            Refused{.reason = reason,
-                   .retry_after = RetryAfter(now, job),
+                   .retry_after = RetryAfter(now, job.spec.id),
                    .may_have_run = job.may_have_run},
            actions);
     return;
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -20,6 +20,7 @@
 #include "schedule/forecast.h"
 #include "schedule/job.h"
 #include "schedule/job_spec.h"
+#include "schedule/memory_budget.h"
 #include "schedule/messages.h"
 #include "schedule/run_time_model.h"
 #include "schedule/served_fraction_tracker.h"
@@ -50,6 +51,10 @@
   // Shared by the schedulers of one instance. If null, the scheduler keeps its
   // own.
   CrashHistoryPointer crash_history;
+  // Memory for jobs and for their runs, shared by the schedulers of one
+  // instance. If null, the scheduler keeps its own, without a limit.
+  MemoryBudgetPointer job_memory;
+  MemoryBudgetPointer run_memory;
   // Fraction of the latency objective within which a waiting job may still be
   // refused in favour of others. Later, the caller has waited too long for a
   // refusal.
@@ -96,12 +101,14 @@
   Scheduler(const Scheduler&) = delete;
   Scheduler& operator=(const Scheduler&) = delete;
 
+  MemoryBudget& job_memory() const { return *options_.job_memory; }
   Fleet& fleet() { return fleet_; }
   const Fleet& fleet() const { return fleet_; }
 
-  // Admits a job that arrived at `arrival`, or refuses it with `JobEnded`. Does
-  // nothing if the job with this id is in progress. If the job has ended but
-  // its runs are still being stopped, it is admitted again after the last one.
+  // Admits a job that arrived at `arrival`, or refuses it with `JobEnded`; one
+  // without room in memory is refused before it is built. Does nothing if the
+  // job with this id is in progress. If the job has ended but its runs are
+  // still being stopped, it is admitted again after the last one.
   void Submit(TimePoint now,
               JobSpec spec,
               TimePoint arrival,
@@ -181,10 +188,20 @@
     std::int64_t upstream_started_unix_ms = 0;
     // The run keeps its upstream isolated.
     bool is_isolating = false;
+    MemoryBudget::Reservation memory;
   };
 
   // Admission and load shedding (scheduler_admission.cc).
-  JobPointer MakeJob(JobSpec spec, TimePoint arrival, TimePoint deadline) const;
+  JobPointer MakeJob(JobSpec spec,
+                     MemoryBudget::Reservation memory,
+                     TimePoint arrival,
+                     TimePoint deadline) const;
+  // Refuses a job for which there is no room in memory.
+  void RefuseUnbuilt(TimePoint now,
+                     const JobSpec& spec,
+                     TimePoint arrival,
+                     bool may_have_run,
+                     Actions& actions) const;
   void Admit(TimePoint now, Job& job, Actions& actions);
   // Keeps `next` until the last run of `earlier` has ended.
   void Defer(TimePoint now, Job& earlier, JobPointer next, Actions& actions);
@@ -205,7 +222,7 @@
   Forecast MakeForecast(TimePoint now) const;
   TimePoint ExpectedEnd(TimePoint now, const Running& run) const;
   void Refuse(TimePoint now, Job& job, RefusalReason reason, Actions& actions);
-  Duration RetryAfter(TimePoint now, const Job& job) const;
+  Duration RetryAfter(TimePoint now, const std::string& job) const;
 
   // Runs of tasks (scheduler.cc, scheduler_retries.cc).
   HealthSignal HealthOf(const Job& job, const Task& task, RunOutcome outcome);
@@ -222,6 +239,7 @@
              std::uint32_t step,
              std::uint32_t index,
              std::uint32_t upstream,
+             MemoryBudget::Reservation memory,
              Actions& actions);
   void Stop(Job& job,
             std::uint32_t step,
--- a/src/schedule/scheduler_admission.cc
+++ b/src/schedule/scheduler_admission.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "schedule/forecast.h"
+#include "schedule/job_memory.h"
 #include "schedule/scheduler.h"
 
 namespace jaypick::schedule {
@@ -70,18 +71,43 @@
                        TimePoint deadline,
                        Actions& actions) {
   const auto existing = jobs_.find(spec.id);
-  if (existing != jobs_.end()) {
-    Job& earlier = *existing->second;
-    if (earlier.has_ended && earlier.resubmission == nullptr) {
-      Defer(now, earlier, MakeJob(std::move(spec), arrival, deadline), actions);
-    }
+  const bool is_known = existing != jobs_.end();
+  if (is_known && (!existing->second->has_ended ||
+                   existing->second->resubmission != nullptr)) {
+    return;
+  }
+  auto memory = options_.job_memory->Reserve(JobBytes(spec));
+  if (!memory) {
+    RefuseUnbuilt(now, spec, arrival, is_known, actions);
+    return;
+  }
+  const JobPointer job =
+      MakeJob(std::move(spec), *std::move(memory), arrival, deadline);
+  if (is_known) {
+    Defer(now, *existing->second, job, actions);
     return;
   }
-  const JobPointer job = MakeJob(std::move(spec), arrival, deadline);
   jobs_[job->spec.id] = job;
   Admit(now, *job, actions);
 }
 
+void Scheduler::RefuseUnbuilt(TimePoint now,
+                              const JobSpec& spec,
+                              TimePoint arrival,
+                              bool may_have_run,
+                              Actions& actions) const {
+  const RefusalReason reason =
+      options_.job_memory->CanEverReserve(JobBytes(spec))
+          ? RefusalReason::kNoMemory
+          : RefusalReason::kTooLarge;
+  const JobOutcome outcome =
+      may_have_run
+          ? JobOutcome(Failed{.reason = reason})
+          : Refused{.reason = reason, .retry_after = RetryAfter(now, spec.id)};
+  actions.push_back(JobEnded{
+      .job = spec.id, .outcome = outcome, .response_time = now - arrival});
+}
+
 void Scheduler::Defer(TimePoint now,
                       Job& earlier,
                       JobPointer next,
@@ -157,9 +183,11 @@
 }
 
 JobPointer Scheduler::MakeJob(JobSpec spec,
+                              MemoryBudget::Reservation memory,
                               TimePoint arrival,
                               TimePoint deadline) const {
   JobPointer job(new Job);
+  job->memory = std::move(memory);
   job->arrival = arrival;
   job->deadline = deadline;
   for (const Step& step : spec.steps) {
@@ -356,7 +384,7 @@
 
 // Returns the time after which the work that is waiting now is expected to have
 // started, plus a jitter so that callers do not all retry at once.
-Duration Scheduler::RetryAfter(TimePoint now, const Job& job) const {
+Duration Scheduler::RetryAfter(TimePoint now, const std::string& job) const {
   Forecast forecast = MakeForecast(now);
   for (const Job& queued : queue_) {
     for (const StepState& step : queued.steps) {
@@ -372,7 +400,7 @@
           : std::clamp(free - now, kShortestRetry, kLongestRetry / 2);
   // One pass of load shedding refuses many jobs at the same time.
   const auto jitter =
-      static_cast<Duration::rep>(std::hash<std::string>()(job.spec.id) % 1000);
+      static_cast<Duration::rep>(std::hash<std::string>()(job) % 1000);
   return wait + wait * jitter / 1000;
 }
 
--- a/src/schedule/scheduler_retries.cc
+++ b/src/schedule/scheduler_retries.cc
@@ -135,15 +135,16 @@
   if (evacuation_.PreventsAllStarts(now)) {
     return;
   }
-  std::vector<Running> stragglers;
+  std::vector<const Running*> stragglers;
   for (const auto& [id, run] : running_) {
     const StepState& step = run.job->steps[run.step];
     const Task& task = step.tasks[run.index];
     if (!task.is_stopping && IsStraggler(now, task, step)) {
-      stragglers.push_back(run);
+      stragglers.push_back(&run);
     }
   }
-  for (const Running& run : stragglers) {
+  for (const Running* const straggler : stragglers) {
+    const Running& run = *straggler;
     Job& job = *run.job;
     StepState& step = job.steps[run.step];
     Task& task = step.tasks[run.index];
--- a/tests/process_untrusted_clients_test.cc
+++ b/tests/process_untrusted_clients_test.cc
@@ -14,6 +14,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <filesystem>
 #include <fstream>
@@ -24,6 +25,7 @@
 #include <vector>
 
 #include "http/client.h"
+#include "node/peer_messages.h"
 #include "tests/process_harness.h"
 #include "tests/support/platform_configuration.h"
 
@@ -177,6 +179,50 @@
     return status;
   }
 
+  // Submits `body` under `id` at the port for callers.
+  void Submit(const std::string& id, const Json& body, int* status) {
+    Post(callers,
+         {.method = http::Method::kPost,
+          .path = "/fit/" + id,
+          .headers = {{.name = "Host", .value = "fit.example"}},
+          .body = body.dump()},
+         status);
+  }
+
+  // Sets `status` to that of the answer, or -1.
+  void Post(std::uint16_t port, http::Request request, int* status) {
+    client.Send({.host = "127.0.0.1", .port = port}, std::move(request),
+                [status](const http::ClientResult& result) {
+                  const auto* const response =
+                      std::get_if<http::Response>(&result);
+                  *status = response == nullptr ? -1 : response->status;
+                });
+  }
+
+  // Adds an upstream and waits until a small job is served.
+  void AddUpstream() {
+    upstream.emplace(runtime, store, monitor,
+                     standin::PlatformUpstream::Options{
+                         .id = "u1", .service = "fitting", .zone = "ghent"});
+    int attempt = 0;
+    cr_assert(loop.RunUntil([&] {
+      int status = 0;
+      Submit("00000000000000" + std::to_string(10 + attempt++ % 90), SmallJob(),
+             &status);
+      cr_assert(loop.RunUntil([&] { return status != 0; }));
+      return status == 200;
+    }));
+  }
+
+  static Json JobOf(std::size_t steps, int tasks, const std::string& spec) {
+    const Json step = {
+        {"count", tasks}, {"cpu", 6800}, {"mem_mb", 64}, {"estimate_ms", 60}};
+    return {{"spec", spec},
+            {"best_effort", true},
+            {"steps", std::vector<Json>(steps, step)}};
+  }
+  static Json SmallJob() { return JobOf(1, 2, "20"); }
+
   void AssertWithinBounds(const char* crowd) {
     cr_assert(!process->HasExited(), "%s: ended by signal %d: %s", crowd,
               process->ending_signal(), process->Log().c_str());
@@ -216,10 +262,13 @@
   node::Runtime runtime{loop.base()};
   standin::PlatformStore store{runtime};
   http::Client client{loop.base(), {.timeout = std::chrono::seconds(60)}};
+  std::optional<http::Client> client_for_crowd;
   std::uint16_t callers = 0;
   std::uint16_t readiness = 0;
   std::uint16_t peer = 0;
   std::uint16_t metrics = 0;
+  standin::PlatformUpstream::RunMonitor monitor;
+  std::optional<standin::PlatformUpstream> upstream;
   std::optional<Process> process;
   std::size_t size_at_start_kb = 0;
 };
@@ -376,5 +425,87 @@
   node.AssertWithinBounds("calm");
 }
 
+// A job of 56 kB with ten million tasks: a process ran out of memory.
+Test(untrusted_clients, job_with_very_many_tasks, .timeout = kTestSeconds) {
+  NodeUnderTest node;
+  node.AddUpstream();
+  for (const std::size_t steps : {std::size_t{1000}, std::size_t{100}}) {
+    int status = 0;
+    node.Submit("00000000000000a1", NodeUnderTest::JobOf(steps, 10'000, "60"),
+                &status);
+    cr_assert(node.loop.RunUntil([&] { return status != 0; }));
+    node.AssertWithinBounds("very many tasks");
+    cr_assert_eq(status, 503);
+  }
+  int status = 0;
+  node.Submit("00000000000000b1", NodeUnderTest::SmallJob(), &status);
+  cr_assert(node.loop.RunUntil([&] { return status != 0; }));
+  cr_assert_eq(status, 200);
+}
+
+// Many jobs of medium size at once, each of which an instance can take.
+Test(untrusted_clients, many_medium_jobs, .timeout = kTestSeconds) {
+  constexpr int kJobs = 100;
+  NodeUnderTest node;
+  node.AddUpstream();
+  node.client_for_crowd.emplace(
+      node.loop.base(), http::ClientOptions{.timeout = std::chrono::seconds(60),
+                                            .connections_per_address = kJobs});
+  std::vector<int> answers(kJobs, 0);
+  for (int job = 0; job < kJobs; ++job) {
+    node.client_for_crowd->Send(
+        {.host = "127.0.0.1", .port = node.callers},
+        {.method = http::Method::kPost,
+         .path = "/fit/00000000000001" + std::to_string(100 + job).substr(1),
+         .headers = {{.name = "Host", .value = "fit.example"}},
+         .body = NodeUnderTest::JobOf(1, 9000, "60").dump()},
+        [&answers, job](const http::ClientResult& result) {
+          answers[static_cast<std::size_t>(job)] =
+              std::holds_alternative<http::Response>(result) ? 1 : -1;
+        });
+  }
+  // The jobs are given up at their deadline, after 1.5 s.
+  for (int round = 0; round < 10; ++round) {
+    node.loop.RunFor(200);
+    node.AssertWithinBounds("many medium jobs");
+  }
+  cr_assert(node.loop.RunUntil(
+      [&] { return std::ranges::count(answers, 1) == kJobs; }));
+  int status = 0;
+  node.Submit("00000000000000b1", NodeUnderTest::SmallJob(), &status);
+  cr_assert(node.loop.RunUntil([&] { return status != 0; }));
+  cr_assert_eq(status, 200);
+  node.AssertWithinBounds("many medium jobs");
+}
+
+// The same job at the port for peers, as another instance would forward it.
+Test(untrusted_clients,
+     forwarded_job_with_very_many_tasks,
+     .timeout = kTestSeconds) {
+  NodeUnderTest node;
+  node.AddUpstream();
+  node::ForwardedJob message{
+      .spec = {.id = "00000000000000a1",
+               .kind = {.name = "match", .service = "fitting"},
+               .payload = "60",
+               .steps = std::vector<schedule::Step>(
+                   1000, {.tasks = 10'000, .needs = {.milli_cpus = 6800}})},
+      .failure_domain = "ghent",
+      .instance = "n1",
+      .deadline_us = (node.runtime.Now() + std::chrono::seconds(2))
+                         .time_since_epoch()
+                         .count(),
+      .entry_incarnation = "1-1"};
+  int status = 0;
+  node.Post(node.peer,
+            {.method = http::Method::kPost,
+             .path = node::kForwardedJobPath,
+             .body = node::Encode(message)},
+            &status);
+  cr_assert(node.loop.RunUntil([&] { return status != 0; }));
+  node.AssertWithinBounds("forwarded job");
+  cr_assert_eq(status, 200);
+}
+
 }  // namespace
 }  // namespace jaypick::testing
