Bound runs by the last proof that somebody waits for their job

An instance loses power while stops are carried out late; the callers submit the jobs again 1.3 s after it is back, and some first runs go on.

Cause: a leader extended leases in full until it gave a job up, 0.95 s after the last proof that somebody waited for it, and the lease lasted for 1.03 s more. Each part of the chain from the caller to the upstream had a bound, and their sums were over 1.3 s.

Change: one bound on the whole. A leader knows when each job was attended last: when the process that forwarded it sent its last ping, or when this process read its sockets. A lease ends 1.2 s after that at most, for the run at the upstream that is worst off; leases are 0.85 s at most and nothing starts for a job that was attended longer than 0.35 s ago, so that a run which joins others under their lease ends in time, too. It works because the bound is counted from the proof itself and rests on no other part of the chain.

peer_server/job_that_was_held_up_is_not_accepted asked that a job which was held up for 0.45 s is completed without any ping of its process. Such a job now starts with the next ping, which is what the bound is for. The test asks the same of a job that was held up for 0.175 s, and job_that_was_held_up_starts_with_the_next_ping that the older one is kept, does not start by another process's ping, and starts by one of its own.

--- a/src/control/active_jobs.h
+++ b/src/control/active_jobs.h
@@ -31,7 +31,7 @@
 class ActiveJobs {
  public:
   // `longest_run` is the time after which no run of a job that was given up is
-  // active, see `LongestRunAfterGivingUp`.
+  // active, see `kLongestUnattendedRun`.
   explicit ActiveJobs(Duration longest_run) : longest_run_(longest_run) {}
 
   struct Entry {
--- a/src/control/forwarding_lease.cc
+++ b/src/control/forwarding_lease.cc
@@ -27,14 +27,17 @@
   return it != processes_.end() && it->second.withdrawn.contains(number);
 }
 
+TimePoint ForwardingLeases::AttendedAt(const std::string& process,
+                                       TimePoint forwarded) const {
+  const auto it = processes_.find(process);
+  return it == processes_.end() ? forwarded
+                                : std::max(forwarded, it->second.extended);
+}
+
 bool ForwardingLeases::HasExpired(TimePoint now,
                                   const std::string& process,
                                   TimePoint forwarded) const {
-  const auto it = processes_.find(process);
-  const TimePoint last = it == processes_.end()
-                             ? forwarded
-                             : std::max(forwarded, it->second.extended);
-  return now - last >= kForwardingLease;
+  return now - AttendedAt(process, forwarded) >= kForwardingLease;
 }
 
 void ForwardingLeases::RemoveExpired(TimePoint now) {
--- a/src/control/forwarding_lease.h
+++ b/src/control/forwarding_lease.h
@@ -41,6 +41,10 @@
   // received within a lease after it was sent may arrive after its withdrawal.
   bool IsWithdrawn(const std::string& process, ForwardNumber number) const;
 
+  // Returns when `process` was last known to wait for a job that it forwarded
+  // at `forwarded` and has not withdrawn.
+  TimePoint AttendedAt(const std::string& process, TimePoint forwarded) const;
+
   // Returns whether the lease of a job that `process` forwarded at `forwarded`
   // has expired.
   bool HasExpired(TimePoint now,
@@ -52,7 +56,7 @@
 
  private:
   struct Process {
-    // When it sent its last message.
+    // When it sent its last ping.
     TimePoint extended;
     // When this node last heard of each withdrawal.
     std::map<ForwardNumber, TimePoint> withdrawn;
--- a/src/control/upstream_session.cc
+++ b/src/control/upstream_session.cc
@@ -36,7 +36,7 @@
 }
 
 UpstreamSession::UpstreamSession(SessionOptions options, std::uint64_t token)
-    : options_(options), token_(token) {}
+    : options_(std::move(options)), token_(token) {}
 
 void UpstreamSession::Begin(TimePoint now, SessionOutputs& outputs) {
   SendPoll(now, Duration(0), false, true, outputs);
@@ -55,22 +55,68 @@
          ToMilliseconds(options_.longest_lease);
 }
 
-std::int64_t UpstreamSession::ExtendLease(TimePoint now) {
-  const auto longest = static_cast<Duration::rep>(
-      static_cast<double>(options_.longest_lease.count()) /
+TimePoint UpstreamSession::LatestEnd(const RunId& run) const {
+  return options_.attended_at
+             ? options_.attended_at(run.job) + options_.longest_unattended_run
+             : TimePoint::max();
+}
+
+Duration UpstreamSession::AllowedLease(TimePoint now) const {
+  if (!options_.attended_at) {
+    return options_.longest_lease;
+  }
+  TimePoint latest = TimePoint::max();
+  const std::string* job = nullptr;
+  for (const auto& [run, state] : runs_) {
+    // Runs are ordered by their jobs.
+    if (job == nullptr || *job != run.job) {
+      job = &run.job;
+      latest = std::min(latest, LatestEnd(run));
+    }
+  }
+  if (latest - now >= options_.longest_unattended_run) {
+    return options_.longest_lease;
+  }
+  const auto allowed = static_cast<Duration::rep>(
+      static_cast<double>((latest - now - options_.lease_margin).count()) *
       (1 - options_.clock_error));
+  return std::clamp(Duration(allowed), Duration(0), options_.longest_lease);
+}
+
+std::optional<std::int64_t> UpstreamSession::ExtendLease(TimePoint now) {
+  const Duration lease = AllowedLease(now);
+  if (lease < std::chrono::milliseconds(1)) {
+    return std::nullopt;
+  }
+  const auto longest = static_cast<Duration::rep>(
+      static_cast<double>(lease.count()) / (1 - options_.clock_error));
   lease_bound_ =
       std::max(lease_bound_, now + Duration(longest) + options_.lease_margin);
-  const std::int64_t expiry = LeaseExpiry(now);
+  const std::int64_t expiry =
+      LeaseExpiry(now) - ToMilliseconds(options_.longest_lease - lease);
   lease_expiry_ms_ = std::max(lease_expiry_ms_, expiry);
   return expiry;
 }
 
-std::optional<std::int64_t> UpstreamSession::StartLeaseExpiry(TimePoint now) {
-  if (stopping_.empty()) {
-    return ExtendLease(now);
+std::int64_t UpstreamSession::LeaseLeftMs(TimePoint now) const {
+  return clock_ms_ ? lease_expiry_ms_ - LeaseExpiry(now) +
+                         ToMilliseconds(options_.longest_lease)
+                   : 0;
+}
+
+std::optional<std::int64_t> UpstreamSession::StartLeaseExpiry(
+    TimePoint now,
+    const RunId& run) {
+  std::optional<std::int64_t> expiry;
+  if (!stopping_.empty()) {
+    expiry = MayStart(now) ? std::optional(lease_expiry_ms_) : std::nullopt;
+  } else if (ExtendLease(now) &&
+             LeaseLeftMs(now) >=
+                 ToMilliseconds(options_.shortest_start_lease)) {
+    expiry = lease_expiry_ms_;
   }
-  return MayStart(now) ? std::optional(lease_expiry_ms_) : std::nullopt;
+  // The run joins the lease that the upstream has already got.
+  return lease_bound_ <= LatestEnd(run) ? expiry : std::nullopt;
 }
 
 void UpstreamSession::SendPoll(TimePoint now,
@@ -88,6 +134,8 @@
     poll.wait = std::min(wait, options_.stop_confirmation_limit);
   } else if (extends_lease && clock_ms_) {
     poll.lease_expiry_ms = ExtendLease(now);
+    poll.wait = std::min(wait, std::max((lease_bound_ - now) / 2,
+                                        options_.recovery_poll_interval));
   }
   acknowledged_sent_ = acknowledged_;
   poll_ = PendingPoll{.request_number = poll.request_number,
@@ -122,9 +170,12 @@
                                 const RunId& run,
                                 std::string payload,
                                 SessionOutputs& outputs) {
-  const auto lease_expiry_ms = StartLeaseExpiry(now);
+  const auto lease_expiry_ms = StartLeaseExpiry(now, run);
   if (!lease_expiry_ms) {
-    EndRun(run, RunOutcome::kNotStarted, "stop_unconfirmed", outputs);
+    const std::string_view cause =
+        stopping_.empty() ? "unattended" : "stop_unconfirmed";
+    HoldStarts(now + options_.recovery_poll_interval, cause, outputs);
+    EndRun(run, RunOutcome::kNotStarted, cause, outputs);
     return;
   }
   const StartRequest start{.request_number = ++last_request_number_,
@@ -169,14 +220,11 @@
 
 bool UpstreamSession::MayStart(TimePoint now) const {
   if (stopping_.empty()) {
-    return true;
+    return state_ != State::kHoldingStarts ||
+           AllowedLease(now) >= options_.shortest_start_lease;
   }
-  const std::int64_t left_ms = clock_ms_
-                                   ? lease_expiry_ms_ - LeaseExpiry(now) +
-                                         ToMilliseconds(options_.longest_lease)
-                                   : 0;
   return !IsStopLate(now) &&
-         left_ms >= ToMilliseconds(options_.shortest_start_lease);
+         LeaseLeftMs(now) >= ToMilliseconds(options_.shortest_start_lease);
 }
 
 void UpstreamSession::CheckStops(TimePoint now, SessionOutputs& outputs) {
@@ -184,10 +232,7 @@
     ChangeState(State::kReady, "stopped", outputs);
     return;
   }
-  if (state_ == State::kReady) {
-    ChangeState(State::kStopping, "stop_unconfirmed", outputs);
-    next_stops_ = now;
-  }
+  HoldStarts(now, "stop_unconfirmed", outputs);
   if (now < next_stops_) {
     return;
   }
@@ -199,6 +244,15 @@
   }
 }
 
+void UpstreamSession::HoldStarts(TimePoint next_check,
+                                 std::string_view cause,
+                                 SessionOutputs& outputs) {
+  if (state_ == State::kReady) {
+    ChangeState(State::kHoldingStarts, cause, outputs);
+    next_stops_ = next_check;
+  }
+}
+
 bool UpstreamSession::AcceptResponse(TimePoint now,
                                      const UpstreamTimestamps& timestamps,
                                      ResponseStatus status,
@@ -456,8 +510,8 @@
     return;
   }
   if (!IsResponding() && clock_ms_) {
-    ChangeState(MayStart(now) ? State::kReady : State::kStopping, "answered",
-                outputs);
+    ChangeState(MayStart(now) ? State::kReady : State::kHoldingStarts,
+                "answered", outputs);
     next_stops_ = now + options_.stop_confirmation_limit;
     for (const auto& [run, requested] : stopping_) {
       if (runs_.contains(run)) {
@@ -583,7 +637,7 @@
     case State::kFenced:
       return;
     case State::kReady:
-    case State::kStopping: {
+    case State::kHoldingStarts: {
       CheckStops(now, outputs);
       const bool has_unacknowledged_ends = acknowledged_ != acknowledged_sent_;
       if (!poll_ && runs_.empty() && has_unacknowledged_ends &&
@@ -626,7 +680,7 @@
   switch (state_) {
     case State::kFenced:
       return std::nullopt;
-    case State::kStopping:
+    case State::kHoldingStarts:
       return next_stops_;
     case State::kReady: {
       std::optional<TimePoint> next;
--- a/src/control/upstream_session.h
+++ b/src/control/upstream_session.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -145,6 +146,12 @@
   double clock_error = kUpstreamClockError;
   // Margin over the lease for rounding to whole milliseconds.
   Duration lease_margin = kLeaseMargin;
+  // Returns when somebody was last known to wait for the job. If empty, all
+  // jobs are attended at any time.
+  std::function<TimePoint(const std::string& job)> attended_at;
+  // A lease covers all runs at the upstream. It ends this long after any of
+  // their jobs was attended last.
+  Duration longest_unattended_run = kLongestUnattendedRun;
   // Leases are shorter by the possible drift of the upstream's clock since it
   // was last read. Beyond this drift, the clock is read before a run is
   // started, so that leases outlast a poll that gets lost.
@@ -157,8 +164,8 @@
   // got, if this much of it is left.
   Duration shortest_start_lease = std::chrono::milliseconds(250);
   // Longest wait of a poll, short enough that leases are renewed well before
-  // they expire.
-  Duration poll_wait = std::chrono::milliseconds(450);
+  // they expire. A poll that extends a lease waits for half of it at most.
+  Duration poll_wait = std::chrono::milliseconds(420);
   // Intervals of polls to an upstream that does not respond, while its leases
   // may be valid and otherwise. The first interval is many round trips long and
   // allows few polls within a lease.
@@ -248,8 +255,9 @@
     // stopped.
     kTakingOver,
     kReady,
-    // The upstream responds, but a stop is pending that allows no start.
-    kStopping,
+    // The upstream responds, but too little of a lease is left for a start: a
+    // stop is pending, or the job of a run has not been attended for long.
+    kHoldingStarts,
     // A request got no response, so the state of the runs is unknown.
     kRecovering,
     // No response came before all leases expired, or another incarnation
@@ -283,19 +291,31 @@
   // Largest possible drift of the upstream's clock since its last reading.
   Duration Drift(TimePoint now) const;
   std::int64_t LeaseExpiry(TimePoint now) const;
-  // The expiry that a start request states: extends the lease unless a stop is
-  // pending. Returns nullopt if no run may be started.
-  std::optional<std::int64_t> StartLeaseExpiry(TimePoint now);
-  // Returns the expiry of a lease that is extended now.
-  std::int64_t ExtendLease(TimePoint now);
+  // Latest end of the run, as its job was attended.
+  TimePoint LatestEnd(const RunId& run) const;
+  // The lease that may be granted now, on the upstream's clock: the longest one
+  // that ends before the latest end of each run. Zero if there is none.
+  Duration AllowedLease(TimePoint now) const;
+  // The expiry that a request to start the run states: extends the lease unless
+  // a stop is pending. Returns nullopt if the run may not be started, as its
+  // lease would be too short, or too long for a job that is not attended.
+  std::optional<std::int64_t> StartLeaseExpiry(TimePoint now, const RunId& run);
+  // Returns the expiry of a lease that is extended now, or nullopt if it may
+  // not be.
+  std::optional<std::int64_t> ExtendLease(TimePoint now);
+  // How much of the lease that the upstream has got is left, on its clock.
+  std::int64_t LeaseLeftMs(TimePoint now) const;
   void SendStart(TimePoint now,
                  const RunId& run,
                  std::string payload,
                  SessionOutputs& outputs);
   void SendStop(const RunId& run, SessionOutputs& outputs);
-  // Returns whether runs may be started without extending the lease of a run to
-  // be stopped.
+  // Returns whether enough of a lease is left for starts, without extending
+  // that of a run to be stopped.
   bool MayStart(TimePoint now) const;
+  void HoldStarts(TimePoint next_check,
+                  std::string_view cause,
+                  SessionOutputs& outputs);
   // Returns whether a run has not ended in time after its stop was requested.
   bool IsStopLate(TimePoint now) const;
   // Holds starts while they are not possible, and repeats the stops that are
@@ -307,7 +327,7 @@
                 bool is_recovery,
                 SessionOutputs& outputs);
   bool IsResponding() const {
-    return state_ == State::kReady || state_ == State::kStopping;
+    return state_ == State::kReady || state_ == State::kHoldingStarts;
   }
   void ContinuePolling(TimePoint now, SessionOutputs& outputs);
   void EnterRecovery(TimePoint now,
--- a/src/node/domain_leader.cc
+++ b/src/node/domain_leader.cc
@@ -29,15 +29,46 @@
     : runtime_(runtime),
       upstream_client_(upstream_client),
       options_(std::move(options)),
-      scheduler_(options_.scheduler),
+      scheduler_(WithAttendance()),
       registry_(options_.failure_domain),
       timer_(runtime.base(), [this] { ProcessPending(runtime_.Now()); }),
-      is_alive_(std::make_shared<bool>(true)) {}
+      is_alive_(std::make_shared<bool>(true)) {
+  options_.session.attended_at = options_.scheduler.attended_at;
+}
 
 DomainLeader::~DomainLeader() {
   *is_alive_ = false;
 }
 
+schedule::SchedulerOptions DomainLeader::WithAttendance() {
+  options_.scheduler.attended_at = [this](const std::string& job) {
+    return AttendedAt(job);
+  };
+  options_.scheduler.longest_unattended_start =
+      control::kLongestUnattendedStart;
+  return options_.scheduler;
+}
+
+TimePoint DomainLeader::AttendedAt(const std::string& job) const {
+  TimePoint last;
+  const auto it = waiters_.find(job);
+  if (it == waiters_.end()) {
+    return last;
+  }
+  for (const Waiter& waiter : it->second) {
+    const TimePoint attended =
+        waiter.attended_at ? waiter.attended_at() : runtime_.Now();
+    last = std::max(last, std::min(attended, waiter.deadline));
+  }
+  return last;
+}
+
+void DomainLeader::OnAttended() {
+  if (!is_lost_ && scheduler_.has_unattended_jobs()) {
+    ProcessPending(runtime_.Now());
+  }
+}
+
 void DomainLeader::SetUpstreams(
     const std::map<std::string, schedule::Upstream>& listed,
     const std::set<std::string>& predecessor_upstreams,
@@ -159,7 +190,10 @@
 std::uint64_t DomainLeader::Submit(Submission submission,
                                    JobCallback callback) {
   const std::uint64_t number = ++last_waiter_;
-  Waiter waiter{.number = number, .callback = std::move(callback)};
+  Waiter waiter{.number = number,
+                .callback = std::move(callback),
+                .deadline = submission.deadline,
+                .attended_at = std::move(submission.attended_at)};
   if (is_draining_ && !HasJob(submission.spec.id)) {
     Refuse({.submission = std::move(submission), .waiter = std::move(waiter)},
            schedule::RefusalReason::kCommandLost);
@@ -594,14 +628,17 @@
                           control::RunEnded& output) {
   if (output.end == schedule::RunOutcome::kLeaseExpired ||
       schedule::IsUpstreamLoss(output.end)) {
-    LogEvent(LogLevel::kWarning, "run_lost",
-             {{"id", output.run.job},
-              {"task", RunName(output.run)},
-              {"upstream", scheduler_.fleet().upstream(upstream).id},
-              {"domain", options_.failure_domain},
-              {"cause", std::string(output.cause)},
-              {"outcome", std::string(schedule::ToString(output.end))},
-              {"runs_there", std::to_string(scheduler_.runs_on(upstream))}});
+    LogEvent(
+        LogLevel::kWarning, "run_lost",
+        {{"id", output.run.job},
+         {"task", RunName(output.run)},
+         {"upstream", scheduler_.fleet().upstream(upstream).id},
+         {"domain", options_.failure_domain},
+         {"cause", std::string(output.cause)},
+         {"outcome", std::string(schedule::ToString(output.end))},
+         {"unattended_ms",
+          std::to_string(ToMilliseconds(now - AttendedAt(output.run.job)))},
+         {"runs_there", std::to_string(scheduler_.runs_on(upstream))}});
   }
   schedule::Actions actions;
   scheduler_.OnRunEnded(now, output.run, output.end, actions);
--- a/src/node/domain_leader.h
+++ b/src/node/domain_leader.h
@@ -39,6 +39,9 @@
   std::string entry_incarnation;
   // See `ForwardedJob`.
   std::string inactive_at;
+  // Returns when the job was last attended, see `run_bounds.h`. If empty, it is
+  // attended at any time.
+  std::function<TimePoint()> attended_at;
 };
 
 struct DomainLeaderOptions {
@@ -120,6 +123,9 @@
   // the runs of earlier leaders.
   bool HasTakenOverAllUpstreams() const;
 
+  // Jobs are attended again that might not have been.
+  void OnAttended();
+
   // Called when a caller stops waiting. The job is abandoned if it has no other
   // waiter.
   void RemoveWaiter(const std::string& job, std::uint64_t waiter);
@@ -158,6 +164,8 @@
   struct Waiter {
     std::uint64_t number = 0;
     JobCallback callback;
+    TimePoint deadline;
+    std::function<TimePoint()> attended_at;
   };
   struct HeldSubmission {
     Submission submission;
@@ -173,6 +181,10 @@
   control::RegisteredJob OwnRegistration(TimePoint now,
                                          const schedule::ActiveJob& job) const;
 
+  // When somebody was last known to wait for the job.
+  TimePoint AttendedAt(const std::string& job) const;
+  // Adds to the options that the scheduler asks this leader for attendance.
+  schedule::SchedulerOptions WithAttendance();
   void ProcessPending(TimePoint now);
   void Execute(TimePoint now, schedule::Actions actions);
   void Handle(TimePoint now, schedule::StartTask& action);
--- a/src/node/leadership_manager.cc
+++ b/src/node/leadership_manager.cc
@@ -100,6 +100,12 @@
   return is_usable ? it->second.domain_leader.get() : nullptr;
 }
 
+void LeadershipManager::OnAttended() {
+  for (const auto& [domain, held_domain] : held_domains_) {
+    held_domain.domain_leader->OnAttended();
+  }
+}
+
 void LeadershipManager::Tick() {
   retired_.clear();
   const TimePoint now = runtime_.Now();
@@ -331,7 +337,7 @@
       .address = record.address,
       .longest_stop = control::LongestStop(settings_.run_lease),
       .token = token};
-  options.session.longest_lease = settings_.run_lease;
+  options.session.longest_lease = control::RunLease(settings_.run_lease);
   options.scheduler.on_violation = [](std::string_view invariant,
                                       const std::string& detail) {
     LogEvent(LogLevel::kError, "invariant_violated",
--- a/src/node/leadership_manager.h
+++ b/src/node/leadership_manager.h
@@ -102,6 +102,8 @@
   const schedule::CrashHistory& crash_history() const {
     return *crash_history_;
   }
+  // Another process waits for the jobs that it has forwarded here.
+  void OnAttended();
   // Memory for all jobs of the instance, and for the runs of its leaderships.
   schedule::MemoryBudget& job_memory() const { return *job_memory_; }
   const schedule::MemoryBudget& run_memory() const { return *run_memory_; }
--- a/src/node/peer_server.cc
+++ b/src/node/peer_server.cc
@@ -170,7 +170,8 @@
        .deadline = deadline,
        .instance = std::move(message->instance),
        .entry_incarnation = std::move(message->entry_incarnation),
-       .inactive_at = std::move(message->inactive_at)},
+       .inactive_at = std::move(message->inactive_at),
+       .attended_at = [this, number] { return AttendedAt(number); }},
       [this, number](const JobResult& result) { OnJobResult(number, result); });
   // The entry no longer exists if the job was refused at once.
   const auto it = forwarded_jobs_.find(number);
@@ -316,6 +317,15 @@
   const TimePoint sent =
       ping.sent ? std::min(now, TimePoint(Duration(ping.sent->clock_us))) : now;
   leases_.Extend(now, process, sent);
+  leadership_manager_.OnAttended();
+}
+
+TimePoint PeerServer::AttendedAt(std::uint64_t number) const {
+  const auto it = forwarded_jobs_.find(number);
+  return it == forwarded_jobs_.end()
+             ? TimePoint()
+             : leases_.AttendedAt(it->second.entry_incarnation,
+                                  it->second.sent_at);
 }
 
 void PeerServer::DropWithdrawnJobs(const Ping& ping) {
--- a/src/node/peer_server.h
+++ b/src/node/peer_server.h
@@ -56,6 +56,8 @@
   void OnForwardedJob(const http::Request& request, http::Responder responder);
   void OnRegistration(const http::Request& request, http::Responder responder);
   void OnPing(const http::Request& request, http::Responder responder);
+  // When the sender of the request was last known to wait for its outcome.
+  TimePoint AttendedAt(std::uint64_t number) const;
   // Extends the lease of the jobs that the sender has forwarded.
   void ExtendLease(const Ping& ping);
   void DropWithdrawnJobs(const Ping& ping);
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -179,6 +179,7 @@
   if (now >= start_limit_ || evacuation_.PreventsAllStarts(now)) {
     return;
   }
+  has_unattended_jobs_ = false;
   // Processor need of the smallest task that could not be placed, by service.
   // Starts only reduce free capacity, so tasks that need as much are not tried
   // again.
@@ -210,6 +211,10 @@
           break;
         }
         const auto upstream = fleet_.Choose(query, now);
+        if (upstream && !IsAttended(now, job)) {
+          has_unattended_jobs_ = true;
+          break;
+        }
         if (upstream) {
           Start(now, job, static_cast<std::uint32_t>(step), index, *upstream,
                 *std::move(memory), actions);
@@ -235,6 +240,11 @@
   }
 }
 
+bool Scheduler::IsAttended(TimePoint now, const Job& job) const {
+  return !options_.attended_at || now - options_.attended_at(job.spec.id) <=
+                                      options_.longest_unattended_start;
+}
+
 std::optional<std::uint32_t> Scheduler::ReservedUpstreamFor(TimePoint now,
                                                             const Job& job) {
   if (reservation_.job != job.spec.id || now >= reservation_.until) {
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -27,6 +27,9 @@
 
 namespace jaypick::schedule {
 
+// Returns when somebody was last known to wait for a job.
+using AttendanceQuery = std::function<TimePoint(const std::string& job)>;
+
 struct SchedulerOptions {
   // A run that takes this many times its predicted time is stopped and retried
   // elsewhere. Once some tasks of its step have succeeded, the limit is the
@@ -59,6 +62,10 @@
   // refused in favour of others. Later, the caller has waited too long for a
   // refusal.
   double refusal_window_fraction = 0.25;
+  // No run of a job starts if the job was attended longer ago than this. If
+  // `attended_at` is empty, all jobs are attended at any time.
+  AttendanceQuery attended_at;
+  Duration longest_unattended_start{0};
   // If false, jobs are not refused for overload, but wait until their deadline.
   bool sheds_load = true;
   // Called for each invariant that does not hold; tests treat a call as a
@@ -171,6 +178,8 @@
   std::optional<ActiveJob> FindActive(const std::string& job) const;
   std::size_t waiting_tasks() const { return waiting_; }
   std::size_t running_tasks() const { return running_.size(); }
+  // Jobs whose tasks would have started if the jobs were attended.
+  bool has_unattended_jobs() const { return has_unattended_jobs_; }
   // Number of passes of load shedding so far.
   std::uint64_t shed_passes() const { return shed_passes_; }
   // Number of runs on one upstream.
@@ -227,6 +236,7 @@
   // Runs of tasks (scheduler.cc, scheduler_retries.cc).
   HealthSignal HealthOf(const Job& job, const Task& task, RunOutcome outcome);
   void StartWaitingTasks(TimePoint now, Actions& actions);
+  bool IsAttended(TimePoint now, const Job& job) const;
   // Ends the waiting jobs that the evacuation in progress keeps from starting.
   void ApplyEvacuation(TimePoint now, Actions& actions);
   PlacementQuery QueryFor(const Job& job, std::size_t step) const;
@@ -304,6 +314,7 @@
     TimePoint until;
   };
   Reservation reservation_;
+  bool has_unattended_jobs_ = false;
   // A pass of load shedding is due, as jobs have arrived or some time has
   // passed.
   bool is_shed_due_ = false;
--- a/tests/peer_server_test.cc
+++ b/tests/peer_server_test.cc
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "control/forwarding_lease.h"
+#include "control/run_bounds.h"
 #include "node/peer_messages.h"
 
 namespace jaypick::testing {
@@ -222,7 +223,28 @@
   cr_assert(refused.is_not_leader);
   cr_assert(!refused.is_inactive);
   cr_assert_eq(pair.rig.run_monitor.started, 0);
-  cr_assert(IsCompleted(forward_sent(control::kForwardingLease / 2)));
+  cr_assert(IsCompleted(forward_sent(control::kLongestUnattendedStart / 2)));
+}
+
+// Guards against runs of a job that was held up for so long that its caller may
+// come again while they last, and against a job that is refused although its
+// process still waits for it (TWICE).
+Test(peer_server, job_that_was_held_up_starts_with_the_next_ping) {
+  LeaderAndPeer pair;
+  node::ForwardedJob job = pair.Job(kJob);
+  job.spec.kind.target_latency = milliseconds(1500);
+  job.sent_at_us = (pair.rig.runtime.Now() - control::kForwardingLease / 2)
+                       .time_since_epoch()
+                       .count();
+  pair.SendAsync(node::kForwardedJobPath, Encode(job));
+  pair.rig.loop.RunFor(100);
+  cr_assert(pair.leader().HasJob(kJob));
+  pair.SendAsync(node::kPingPath, Encode(pair.PingOf("e2", Duration(0))));
+  pair.rig.loop.RunFor(100);
+  cr_assert_eq(pair.rig.run_monitor.started, 0);
+  pair.SendAsync(node::kPingPath, Encode(pair.PingOf("e1", Duration(0))));
+  cr_assert(pair.rig.loop.RunUntil(
+      [&] { return pair.rig.run_monitor.started == 1; }));
 }
 
 // Guards against a request that is taken for older than one of an earlier
--- a/tests/resubmission_test.cc
+++ b/tests/resubmission_test.cc
@@ -116,6 +116,12 @@
       each->Control("/fault", {{"silence_open", true}, {"hold_closed", true}});
     }
   }
+  // Requests that start and stop runs take effect much later.
+  void DelayOrders() {
+    for (const auto& upstream : rig.upstreams) {
+      upstream->DelayRunRequests(std::chrono::seconds(5));
+    }
+  }
   std::size_t running() const {
     std::size_t sum = 0;
     for (const auto& upstream : rig.upstreams) {
@@ -461,6 +467,46 @@
   cr_assert_eq(domain.running(), 0);
 }
 
+// Guards against runs of a lost process's jobs that go on until their leases
+// end, after the jobs may have come again, as their stops are not carried out
+// in time (TWICE).
+Test(resubmission, jobs_of_a_lost_process_end_though_stops_are_late) {
+  LeaderBehindRelay domain;
+  domain.StartJob();
+  domain.DelayOrders();
+  domain.relay.Control("/close_clients", {});
+  domain.rig.KillNode(domain.entry);
+  domain.rig.RestartNode(domain.entry);
+  domain.rig.loop.RunFor(kRetransmitMs);
+  cr_assert_eq(domain.running(), 0);
+  cr_assert_eq(domain.rig.LeaderOf("ghent"), static_cast<int>(domain.leader));
+}
+
+// The same for a job whose caller leaves while the cancel is lost.
+Test(resubmission, job_whose_cancel_is_lost_ends_though_stops_are_late) {
+  LeaderBehindRelay domain;
+  domain.StartJob();
+  domain.DelayOrders();
+  domain.relay.Control("/fault",
+                       {{"silence_open", true}, {"hold_closed", true}});
+  domain.rig.Disconnect(kJob);
+  domain.rig.loop.RunFor(kRetransmitMs);
+  cr_assert_eq(domain.running(), 0);
+}
+
+// Guards against leases that end although the job is attended, and against
+// tasks that are not started once it is attended again.
+Test(resubmission, attended_job_outlasts_several_leases) {
+  LeaderBehindRelay domain;
+  PlatformRig& rig = domain.rig;
+  // More tasks than there are slots: some wait for longer than a ping.
+  rig.Submit(domain.entry, kJob, 14, "1500", "/fit/", 9000);
+  cr_assert(rig.WaitForResponses());
+  cr_assert_eq(rig.StatusOf(kJob), 200, "%s", rig.BodyOf(kJob).c_str());
+  cr_assert_eq(rig.run_monitor.started, 14);
+  AssertOneRunAtATime(rig);
+}
+
 // Guards against a job whose connection to its leader broke at one end only,
 // and that the leader goes on with after its instance has given it up (TWICE).
 Test(resubmission, job_that_was_forwarded_twice_in_vain_ends) {
--- a/tests/scheduler_test.cc
+++ b/tests/scheduler_test.cc
@@ -8,6 +8,8 @@
 // clang-format on
 
 #include <algorithm>
+#include <map>
+#include <string>
 
 namespace jaypick::schedule {
 namespace {
@@ -672,5 +674,45 @@
   cr_assert(rig.violations.empty());
 }
 
+// Guards against a start for a job that nobody may wait for any more, against
+// one that is held for good, and against jobs that wait behind it.
+Test(scheduler, job_that_is_not_attended_starts_once_it_is) {
+  std::map<std::string, TimePoint> attended;
+  TimePoint now{std::chrono::seconds(1000)};
+  SchedulerRig rig({.attended_at =
+                        [&](const std::string& job) {
+                          const auto it = attended.find(job);
+                          return it == attended.end() ? now : it->second;
+                        },
+                    .longest_unattended_start = milliseconds(350),
+                    .sheds_load = false});
+  const auto run_for = [&](Duration duration) {
+    const TimePoint end = rig.now() + duration;
+    while (rig.now() < end) {
+      now = rig.now() + milliseconds(5);
+      rig.RunFor(milliseconds(5));
+    }
+  };
+  rig.AddUpstream("u1", 16000);
+  rig.plan = [](const RunId&, std::uint32_t) {
+    return RunPlan{.takes = milliseconds(400)};
+  };
+  rig.Submit("filler", Kind(), 2, 6800, milliseconds(400));
+  attended["a"] = now;
+  rig.Submit("a", Kind(), 2, 6800, milliseconds(400));
+  rig.Submit("b", Kind(), 1, 6800, milliseconds(400));
+  cr_assert_eq(rig.starts.size(), 2);
+  run_for(milliseconds(500));
+  cr_assert(rig.scheduler().has_unattended_jobs());
+  cr_assert_eq(rig.starts.size(), 3);
+  cr_assert_eq(rig.starts.back().first.job, "b");
+  attended["a"] = now;
+  run_for(milliseconds(10));
+  cr_assert_eq(rig.starts.size(), 4);
+  run_for(milliseconds(1000));
+  cr_assert_eq(rig.CountCompleted(""), 3);
+  cr_assert(!rig.scheduler().has_unattended_jobs());
+  cr_assert(rig.violations.empty());
+}
 }  // namespace
 }  // namespace jaypick::schedule
--- a/tests/upstream_session_test.cc
+++ b/tests/upstream_session_test.cc
@@ -7,10 +7,12 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
 #include "control/fencing_token.h"
+#include "control/forwarding_lease.h"
 
 namespace jaypick::control {
 namespace {
@@ -26,7 +28,8 @@
 // Drives a session; the upstream's clock is 5 s behind the leader's at first.
 class SessionRig {
  public:
-  explicit SessionRig(double clock_rate = 1) : clock_rate_(clock_rate) {
+  explicit SessionRig(double clock_rate = 1, SessionOptions options = {})
+      : session(std::move(options), kToken), clock_rate_(clock_rate) {
     session.Begin(now, outputs);
   }
 
@@ -128,7 +131,7 @@
   TimePoint now = kBeginning;
   std::int64_t incarnation = 1;
   SessionOutputs outputs;
-  UpstreamSession session{SessionOptions(), kToken};
+  UpstreamSession session;
 
  private:
   double clock_rate_;
@@ -937,6 +940,146 @@
   cr_assert(rig.Take<PollRequest>()->lease_expiry_ms.has_value());
 }
 
+// When the jobs of runs were attended; all others are attended at any time.
+class Attendance {
+ public:
+  SessionOptions Options(const TimePoint& now) {
+    SessionOptions options;
+    options.longest_lease = RunLease(options.longest_lease);
+    options.attended_at = [this, &now](const std::string& job) {
+      const auto it = last_.find(job);
+      return it == last_.end() ? now : it->second;
+    };
+    return options;
+  }
+  void EndAt(const std::string& job, TimePoint time) { last_[job] = time; }
+  void Resume(const std::string& job) { last_.erase(job); }
+
+ private:
+  std::map<std::string, TimePoint> last_;
+};
+
+constexpr char kOtherJob[] = "5c0e7a21d94b36f9";
+
+// Guards against a run that outlives the time after which its job may be
+// submitted again: the process that waited for it is lost, the leader learns of
+// it only when the forwarding lease ends, and no stop is carried out.
+Test(upstream_session, run_ends_in_time_after_its_job_was_attended_last) {
+  for (const double clock_rate : {0.98, 1.0, 1.02}) {
+    for (const StopAnswer answer :
+         {StopAnswer::kDone, StopAnswer::kUnhealthy, StopAnswer::kNone}) {
+      for (int delay = 0; delay < 500; delay += 35) {
+        Attendance attendance;
+        TimePoint now = SessionRig::kBeginning;
+        SessionRig rig(clock_rate, attendance.Options(now));
+        rig.BecomeReady();
+        SlowlyStoppingUpstream upstream(rig, answer, std::nullopt);
+        const auto run_until = [&](TimePoint end) {
+          while (rig.now < end) {
+            now = rig.now;
+            upstream.RunUntil(std::min(end, rig.now + milliseconds(5)));
+          }
+          now = rig.now;
+        };
+        rig.session.Start(rig.now, Run(0), "p", rig.outputs);
+        run_until(rig.now + milliseconds(700 + delay));
+        cr_assert(upstream.IsRunning(Run(0)));
+        const TimePoint last = rig.now;
+        attendance.EndAt(Run(0).job, last);
+        run_until(last + milliseconds(300));
+        const RunId other{.job = kOtherJob, .index = 0, .run = 1};
+        rig.session.Start(rig.now, other, "p", rig.outputs);
+        run_until(last + kForwardingLease + kForwardingLeaseCheck);
+        cr_assert(upstream.IsRunning(Run(0)), "the lease ends too early");
+        cr_assert(upstream.IsRunning(other));
+        rig.session.Stop(rig.now, Run(0), rig.outputs);
+        cr_assert_leq(
+            rig.session.lease_bound().time_since_epoch().count(),
+            (last + kLongestUnattendedRun).time_since_epoch().count());
+        run_until(last + kLongestUnattendedRun);
+        cr_assert(!upstream.IsRunning(Run(0)),
+                  "clock rate %f, answer %d, %d ms", clock_rate,
+                  static_cast<int>(answer), delay);
+      }
+    }
+  }
+}
+
+// Guards against runs that lapse because the job of another run at their
+// upstream is not attended, although that one is stopped in time.
+Test(upstream_session, other_runs_outlast_one_that_is_not_attended) {
+  for (int delay = 0; delay < 500; delay += 35) {
+    Attendance attendance;
+    TimePoint now = SessionRig::kBeginning;
+    SessionRig rig(1, attendance.Options(now));
+    rig.BecomeReady();
+    SlowlyStoppingUpstream upstream(rig, StopAnswer::kDone, milliseconds(50));
+    const auto run_until = [&](TimePoint end) {
+      while (rig.now < end) {
+        now = rig.now;
+        upstream.RunUntil(std::min(end, rig.now + milliseconds(5)));
+      }
+      now = rig.now;
+    };
+    const RunId other{.job = kOtherJob, .index = 0, .run = 1};
+    rig.session.Start(rig.now, Run(0), "p", rig.outputs);
+    rig.session.Start(rig.now, other, "p", rig.outputs);
+    run_until(rig.now + milliseconds(700 + delay));
+    const TimePoint last = rig.now;
+    attendance.EndAt(Run(0).job, last);
+    run_until(last + kForwardingLease + kForwardingLeaseCheck);
+    rig.session.Stop(rig.now, Run(0), rig.outputs);
+    run_until(last + std::chrono::seconds(4));
+    cr_assert(rig.EndOf(Run(0)) == RunOutcome::kStopped);
+    cr_assert(upstream.IsRunning(other) && !rig.EndOf(other), "%d ms", delay);
+    cr_assert(rig.session.is_ready());
+  }
+}
+
+// Guards against a lease that is not extended again once the job is attended
+// again.
+Test(upstream_session, run_goes_on_if_its_job_is_attended_again_in_time) {
+  Attendance attendance;
+  TimePoint now = SessionRig::kBeginning;
+  SessionRig rig(0.98, attendance.Options(now));
+  rig.BecomeReady();
+  SlowlyStoppingUpstream upstream(rig, StopAnswer::kDone, milliseconds(50));
+  rig.session.Start(rig.now, Run(0), "p", rig.outputs);
+  for (int round = 1; round < 40; ++round) {
+    // Pings that come late: at most 0.8 s pass without one.
+    attendance.EndAt(Run(0).job, rig.now);
+    const TimePoint end = rig.now + milliseconds(round * 20);
+    while (rig.now < end) {
+      now = rig.now;
+      upstream.RunUntil(rig.now + milliseconds(5));
+    }
+    cr_assert(upstream.IsRunning(Run(0)), "round %d", round);
+  }
+}
+
+// Guards against a run that joins the lease of others and outlives the bound of
+// its own job.
+Test(upstream_session, run_of_a_job_that_is_not_attended_does_not_start) {
+  Attendance attendance;
+  TimePoint now = SessionRig::kBeginning;
+  SessionRig rig(1, attendance.Options(now));
+  rig.BecomeReady();
+  rig.Confirm(rig.Start(Run(0)));
+  const RunId other{.job = kOtherJob, .index = 0, .run = 1};
+  attendance.EndAt(kOtherJob, rig.now - kLongestUnattendedStart);
+  rig.session.Start(rig.now, other, "p", rig.outputs);
+  cr_assert(rig.Take<StartRequest>().has_value());
+  const RunId late{.job = kOtherJob, .index = 1, .run = 1};
+  attendance.EndAt(kOtherJob,
+                   rig.now - kLongestUnattendedStart - milliseconds(5));
+  rig.session.Start(rig.now, late, "p", rig.outputs);
+  cr_assert(!rig.Take<StartRequest>());
+  cr_assert(rig.EndOf(late) == RunOutcome::kNotStarted);
+  cr_assert(!rig.session.is_ready(), "the scheduler would try again at once");
+  rig.AdvanceBy(milliseconds(100));
+  cr_assert(rig.session.is_ready());
+}
+
 // Guards against ends at an idle upstream that are never acknowledged.
 Test(upstream_session, ends_at_an_idle_upstream_are_acknowledged) {
   SessionRig rig;
