--- a/review/stand-3/main.cc
+++ b/review/stand-3/main.cc
@@ -9,11 +9,8 @@
 
 namespace {
 
-using review::JobFacts;
 using review::json;
 using review::Stand;
-using review::StandOptions;
-using review::Worker;
 
 // Traffic starts 10 s after the machines do.
 constexpr int kLeadMs = 10'000;
@@ -23,8 +20,13 @@
   return trouble == nullptr || std::string(trouble) != "0";
 }
 
-// Long chains of short tasks, some of which are cancelled.
+// Twelve jobs, two at each node, each a chain of short tasks. Four of them are
+// cancelled after a second, two at the node that has the job and two at a node
+// of another zone.
 void Cancelled(Stand& stand) {
+  constexpr std::size_t kJobs = 12;
+  constexpr std::size_t kCancels = 4;
+  constexpr std::size_t kOffsets[kCancels] = {0, 1, 0, 2};
   json steps = json::array();
   for (int step = 0; step < 9; ++step) {
     steps.push_back(
@@ -33,90 +35,22 @@
       steps.back()["after"] = {step - 1};
     }
   }
-  for (std::size_t node = 0; node < stand.nodes(); ++node) {
-    const std::string job =
-        stand.Submit(node, steps, 12'000, JobFacts{.cpu = 2000}, 900);
-    if (HasTrouble()) {
-      // Half of the cancels go to the node that has the job's request.
-      stand.After(1000, [&stand, node, job] {
-        stand.Cancel(node % 2 == 0 ? node : node + 1, job);
+  for (std::size_t number = 0; number < kJobs; ++number) {
+    const std::string job = stand.Submit(number, steps, 12'000, 900);
+    if (HasTrouble() && number < kCancels) {
+      stand.After(1000, [&stand, number, job, offset = kOffsets[number]] {
+        stand.Cancel(number + offset, job);
       });
     }
   }
   stand.RunFor(14'000);
 }
 
-// The first worker of each zone in turn crashes and comes back as another kind,
-// again and again.
-void CrashInTurn(Stand& stand,
-                 const Worker::Kind& other,
-                 int down_ms,
-                 int gap_ms,
-                 int count) {
-  const Worker::Kind usual = stand.options().kind;
-  const std::size_t zones = stand.options().zones.size();
-  for (int crash = 0; HasTrouble() && crash < count; ++crash) {
-    const std::size_t zone = static_cast<std::size_t>(crash) % zones;
-    Worker& worker = *stand.workers()[zone * stand.workers().size() / zones];
-    stand.After(2000 + crash * gap_ms,
-                [&stand, &worker, usual, other, down_ms] {
-                  worker.Crash();
-                  const bool was_usual = worker.kind().labels == usual.labels;
-                  stand.After(down_ms, [&worker, usual, other, was_usual] {
-                    worker.Restart(was_usual ? other : usual);
-                  });
-                });
-  }
-}
-
-// Workers that start whatever they are told to come back with half of their
-// capacity.
-void RebornSmaller(Stand& stand) {
-  const Worker::Kind smaller{.cpu = 16000, .labels = {"b", "r1-1"}};
-  const bool is_control = std::getenv("SAME_KIND") != nullptr;
-  CrashInTurn(stand, is_control ? stand.options().kind : smaller, 300, 1500,
-              22);
-  for (int ms = 0; ms < 36'000; ms += 21) {
-    stand.After(ms, [&stand] {
-      stand.Submit(
-          stand.random()(),
-          {{{"count", 4}, {"cpu", 6000}, {"mem_mb", 64}, {"estimate_ms", 300}}},
-          1500, JobFacts{.cpu = 6000}, 300);
-    });
-  }
-  stand.RunFor(39'000);
-}
-
-// Idle workers come back with another label than the tasks require.
-void RebornRelabelled(Stand& stand) {
-  const Worker::Kind relabelled{.cpu = 32000, .labels = {"b", "r1-1"}};
-  CrashInTurn(stand, relabelled, 200, 1000, 72);
-  for (int ms = 0; ms < 76'000; ms += 100) {
-    stand.After(ms + static_cast<int>(stand.random()() % 100), [&stand] {
-      stand.Submit(stand.random()(),
-                   {{{"count", 1},
-                     {"cpu", 14000},
-                     {"mem_mb", 64},
-                     {"estimate_ms", 60},
-                     {"requires", "a"}}},
-                   1500, JobFacts{.cpu = 14000, .required_label = "a"}, 60);
-    });
-  }
-  stand.RunFor(79'000);
-}
-
 int Run(const std::string& name, const std::string& folder) {
-  StandOptions options{.folder = folder,
-                       .admission_check = name != "reborn-smaller",
-                       .kind = {.cpu = 32000, .labels = {"a", "r1-1"}}};
-  Stand stand(options);
+  Stand stand({.folder = folder});
   stand.RunFor(kLeadMs);
   if (name == "cancelled") {
     Cancelled(stand);
-  } else if (name == "reborn-smaller") {
-    RebornSmaller(stand);
-  } else if (name == "reborn-relabelled") {
-    RebornRelabelled(stand);
   } else {
     throw std::runtime_error("no such case: " + name);
   }
--- a/review/stand-3/stand.cc
+++ b/review/stand-3/stand.cc
@@ -22,6 +22,9 @@
 namespace http = jaypick::http;
 
 constexpr std::int64_t kHoldMaxMs = 1000;
+// `cancel_ms` and `stop_ms` of the site.
+constexpr auto kCancelLimit = std::chrono::milliseconds(3000);
+constexpr auto kStopLimit = std::chrono::milliseconds(50);
 constexpr int kFirstPort = 12'000;
 constexpr int kPorts = 20'000;
 constexpr int kPortsUsed = 500;
@@ -64,19 +67,17 @@
 
 }  // namespace
 
-Worker::Worker(Stand& stand, std::string id, std::string zone, Kind kind)
+Worker::Worker(Stand& stand, std::string id, std::string zone)
     : stand_(stand),
       id_(std::move(id)),
       zone_(std::move(zone)),
-      kind_(std::move(kind)),
       port_(FreePort()) {
   Open();
 }
 
 void Worker::Open() {
   life_began_ = stand_.Now();
-  // A start a moment after the end of the last life has a later time.
-  born_ = std::max(born_ + 1, UnixMs());
+  born_ = UnixMs();
   server_ = std::make_unique<http::Server>(
       stand_.base(),
       http::ServerOptions{.address = {.host = "127.0.0.1", .port = port_}});
@@ -105,7 +106,7 @@
   Register();
 }
 
-// The entry changes when more than `seq` changes, so it is written once a life.
+// The entry changes when more than `seq` changes, so it is written once.
 void Worker::Register() {
   stand_.store().Put(
       "servers/" + id_,
@@ -116,36 +117,14 @@
            {"slots", 8},
            {"state", "ready"},
            {"cold_remaining_ms", 0},
-           {"capacity", {{"cpu", kind_.cpu}, {"mem_mb", 65536}, {"gpu", 0}}},
-           {"labels", kind_.labels},
+           {"capacity", {{"cpu", 32000}, {"mem_mb", 65536}, {"gpu", 0}}},
+           {"labels", json{"a", "r1-1"}},
            {"clock_ms", ClockMs()},
            {"born", born_},
            {"seq", 1}}
           .dump());
 }
 
-void Worker::Crash() {
-  stand_.Record(id_ + " crashes, runs " + std::to_string(runs_.size()));
-  server_.reset();
-  polls_.clear();
-  for (const auto& [task, run] : runs_) {
-    stand_.OnEnd(*this, task, run.number, "crashed");
-  }
-  runs_.clear();
-  last_numbers_.clear();
-  ends_.clear();
-  last_end_ = 0;
-  highest_token_ = 0;
-  lease_ms_ = 0;
-}
-
-void Worker::Restart(Kind kind) {
-  kind_ = std::move(kind);
-  Open();
-  stand_.Record(id_ + " is up again, capacity " + std::to_string(kind_.cpu) +
-                ", labels " + json(kind_.labels).dump());
-}
-
 std::int64_t Worker::ClockMs() const {
   return ToMilliseconds(stand_.Now() - life_began_);
 }
@@ -191,14 +170,10 @@
       (last != last_numbers_.end() && run <= last->second)) {
     return Reply(409, {{"reason", "old"}});
   }
-  std::vector<std::string> running;
-  for (const auto& [other, state] : runs_) {
-    running.push_back(other);
-  }
   const auto milliseconds = std::stoi(body.at("spec").get<std::string>());
   runs_[task] = {.number = run,
                  .end = stand_.Now() + std::chrono::milliseconds(milliseconds)};
-  stand_.OnStart(*this, task, run, running);
+  stand_.OnStart(*this, task, run);
   return Reply(200, json::object());
 }
 
@@ -259,9 +234,6 @@
 }
 
 void Worker::Tick() {
-  if (!is_up()) {
-    return;
-  }
   const TimePoint now = stand_.Now();
   std::vector<std::pair<std::string, std::string>> over;
   for (const auto& [task, run] : runs_) {
@@ -295,28 +267,27 @@
                .connections_per_address = 100}),
       timer_(runtime_.base(), [this] { Tick(); }) {
   ::signal(SIGPIPE, SIG_IGN);
-  store_.Put("op/config",
-             json{{"version", 3},
-                  {"routes",
-                   {{{"name", "orders"},
-                     {"host", kHost},
-                     {"prefix", kPrefix},
-                     {"service", kService},
-                     {"kind", "unsafe"},
-                     {"timeout_ms", 1500},
-                     {"priority", 0},
-                     {"max_attempts", 3},
-                     {"stretch", 1.6},
-                     {"target_latency_ms", 60}}}},
-                  {"services",
-                   {{{"name", kService},
-                     {"admission_check", options_.admission_check}}}},
-                  {"limits", {{"max_body_bytes", 262144}}}}
-                 .dump());
+  store_.Put(
+      "op/config",
+      json{{"version", 3},
+           {"routes",
+            {{{"name", "orders"},
+              {"host", kHost},
+              {"prefix", kPrefix},
+              {"service", kService},
+              {"kind", "unsafe"},
+              {"timeout_ms", 1500},
+              {"priority", 0},
+              {"max_attempts", 3},
+              {"stretch", 1.6},
+              {"target_latency_ms", 60}}}},
+           {"services", {{{"name", kService}, {"admission_check", true}}}},
+           {"limits", {{"max_body_bytes", 262144}}}}
+          .dump());
   for (const std::string& zone : options_.zones) {
     for (int number = 1; number <= options_.workers_per_zone; ++number) {
       workers_.push_back(std::make_unique<Worker>(
-          *this, "i-" + zone + std::to_string(number), zone, options_.kind));
+          *this, "i-" + zone + std::to_string(number), zone));
     }
   }
   for (const std::string& zone : options_.zones) {
@@ -422,14 +393,13 @@
 std::string Stand::Submit(std::size_t node,
                           json steps,
                           int timeout_ms,
-                          const JobFacts& facts,
                           int task_ms) {
   static constexpr char kDigits[] = "0123456789abcdef";
   std::string id;
   for (int digit = 0; digit < 16; ++digit) {
     id += kDigits[random_() % 16];
   }
-  jobs_[id] = facts;
+  jobs_[id] = {};
   ++sent_;
   const Node& to = nodes_[node % nodes_.size()];
   Record("job " + id + " sent to " + to.name);
@@ -475,44 +445,12 @@
       });
 }
 
-std::string Stand::SinceRestart(const Worker& worker) {
-  return std::to_string(ToMilliseconds(Now() - worker.life_began())) +
-         " ms after its entry in the store had changed";
-}
-
-void Stand::OnStart(const Worker& worker,
-                    const std::string& task,
-                    int run,
-                    const std::vector<std::string>& running) {
-  const JobFacts& facts = jobs_.at(JobOf(task));
+void Stand::OnStart(const Worker& worker, const std::string& task, int run) {
   Record("start " + task + " run " + std::to_string(run) + " on " +
          worker.id());
-  std::set<std::string>& places = places_[task];
-  for (const std::string& other : places) {
-    Broken("TWICE: " + task + " starts on " + worker.id() + " and runs on " +
-           other);
-  }
-  places.insert(worker.id());
-  if (!options_.admission_check) {
-    std::uint32_t cpu = facts.cpu;
-    for (const std::string& other : running) {
-      cpu += jobs_.at(JobOf(other)).cpu;
-    }
-    if (cpu > worker.kind().cpu) {
-      Broken("LIMIT: " + task + " brings " + worker.id() + " to " +
-             std::to_string(cpu) + " of " + std::to_string(worker.kind().cpu) +
-             " thousandths of a core, " + SinceRestart(worker));
-    }
-  }
-  const auto& labels = worker.kind().labels;
-  if (!facts.required_label.empty() &&
-      std::ranges::find(labels, facts.required_label) == labels.end()) {
-    Broken("ROUTE: " + task + " requires label " + facts.required_label +
-           " and starts on " + worker.id() + " with labels " +
-           json(labels).dump());
-  }
+  const JobFacts& facts = jobs_.at(JobOf(task));
   if (facts.cancel_acknowledged &&
-      Now() - *facts.cancel_acknowledged > std::chrono::milliseconds(3000)) {
+      Now() - *facts.cancel_acknowledged > kCancelLimit) {
     Broken("UNASKED: " + task + " starts " +
            std::to_string(ToMilliseconds(Now() - *facts.cancel_acknowledged)) +
            " ms after the job's cancelling was acknowledged");
@@ -525,10 +463,9 @@
                   const std::string& how) {
   Record("end " + task + " run " + std::to_string(run) + " on " + worker.id() +
          " " + how);
-  places_[task].erase(worker.id());
   const JobFacts& facts = jobs_.at(JobOf(task));
   if (facts.cancel_acknowledged &&
-      Now() - *facts.cancel_acknowledged > std::chrono::milliseconds(3050)) {
+      Now() - *facts.cancel_acknowledged > kCancelLimit + kStopLimit) {
     Broken("UNASKED: " + task + " ran until " +
            std::to_string(ToMilliseconds(Now() - *facts.cancel_acknowledged)) +
            " ms after the job's cancelling was acknowledged");
--- a/review/stand-3/stand.h
+++ b/review/stand-3/stand.h
@@ -14,7 +14,6 @@
 #include <memory>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -37,33 +36,18 @@
 
 // What the clients know of a job, for the checks.
 struct JobFacts {
-  std::uint32_t cpu = 0;
-  std::string required_label;
   // When the cancelling was acknowledged.
   std::optional<TimePoint> cancel_acknowledged;
 };
 
 class Stand;
 
-// A worker as PROTOCOL.md ("Running tasks") describes it. Each life has its own
-// clock, counts and start time.
+// A worker as PROTOCOL.md ("Running tasks") describes it.
 class Worker {
  public:
-  struct Kind {
-    std::uint32_t cpu = 32000;
-    std::vector<std::string> labels;
-  };
-
-  Worker(Stand& stand, std::string id, std::string zone, Kind kind);
+  Worker(Stand& stand, std::string id, std::string zone);
 
-  void Crash();
-  // Starts again under the same id, at the same address.
-  void Restart(Kind kind);
-  bool is_up() const { return server_ != nullptr; }
-  std::size_t runs() const { return runs_.size(); }
   const std::string& id() const { return id_; }
-  const Kind& kind() const { return kind_; }
-  TimePoint life_began() const { return life_began_; }
   // Ends what is due.
   void Tick();
 
@@ -99,7 +83,6 @@
   Stand& stand_;
   std::string id_;
   std::string zone_;
-  Kind kind_;
   std::uint16_t port_ = 0;
   std::int64_t born_ = 0;
   TimePoint life_began_;
@@ -118,8 +101,6 @@
   std::vector<std::string> zones = {"east", "north", "west"};
   int nodes_per_zone = 2;
   int workers_per_zone = 4;
-  bool admission_check = true;
-  Worker::Kind kind;
 };
 
 class Stand {
@@ -137,19 +118,12 @@
   int broken() const { return broken_; }
 
   // Sends a job to a node; `node` is taken modulo the number of nodes.
-  std::string Submit(std::size_t node,
-                     json steps,
-                     int timeout_ms,
-                     const JobFacts& facts,
-                     int task_ms);
+  std::string Submit(std::size_t node, json steps, int timeout_ms, int task_ms);
   // Cancels a job through a node.
   void Cancel(std::size_t node, const std::string& job);
 
   // Called by the workers.
-  void OnStart(const Worker& worker,
-               const std::string& task,
-               int run,
-               const std::vector<std::string>& running);
+  void OnStart(const Worker& worker, const std::string& task, int run);
   void OnEnd(const Worker& worker,
              const std::string& task,
              int run,
@@ -158,12 +132,9 @@
   event_base* base() { return runtime_.base(); }
   jaypick::node::Runtime& runtime() { return runtime_; }
   jaypick::standin::PlatformStore& store() { return store_; }
-  const StandOptions& options() const { return options_; }
-  std::vector<std::unique_ptr<Worker>>& workers() { return workers_; }
   std::size_t nodes() const { return nodes_.size(); }
   std::size_t completed() const { return completed_; }
   std::size_t sent() const { return sent_; }
-  std::mt19937& random() { return random_; }
 
  private:
   struct Node {
@@ -175,7 +146,6 @@
 
   void AddNode(const std::string& zone, int number);
   void Launch(Node& node);
-  std::string SinceRestart(const Worker& worker);
   void Tick();
 
   StandOptions options_;
@@ -187,13 +157,10 @@
   std::vector<std::unique_ptr<Worker>> workers_;
   std::vector<Node> nodes_;
   std::map<std::string, JobFacts> jobs_;
-  // Workers on which each task runs.
-  std::map<std::string, std::set<std::string>> places_;
   std::multimap<TimePoint, std::function<void()>> actions_;
   int broken_ = 0;
   std::size_t sent_ = 0;
   std::size_t completed_ = 0;
-  std::size_t last_job_ = 0;
   jaypick::http::Client client_;
   jaypick::node::Timer timer_;
 };
